--- /dev/null
+++ b/Source/Core/AsyncIo/EventLoop.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <span>
+
+namespace boost::asio
+{
+class io_context;
+} // namespace boost::asio
+
+namespace pollenyoke::async_io
+{
+
+using time_point = std::chrono::steady_clock::time_point;
+
+/// Runs the I/O of one process on one thread. Every callback of this module runs on that thread.
+class event_loop
+{
+public:
+  event_loop();
+  ~event_loop();
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+  event_loop(event_loop&&) = delete;
+  event_loop& operator=(event_loop&&) = delete;
+
+  void run();
+  void stop();
+  /// Runs `work` after the current callback.
+  void post(std::function<void()> work);
+  /// Calls `handler` for each SIGTERM, SIGINT (true) and SIGHUP (false).
+  void watch_signals(std::function<void(bool stop)> handler);
+
+  boost::asio::io_context& context();
+  /// Receive buffer that all sockets share; its contents are valid during one callback.
+  std::span<char> scratch();
+
+private:
+  struct state;
+  std::unique_ptr<state> m_state;
+};
+
+/// A one-shot timer. Destroying or restarting it cancels the earlier start.
+class timer
+{
+public:
+  explicit timer(event_loop& loop);
+  ~timer();
+  timer(const timer&) = delete;
+  timer& operator=(const timer&) = delete;
+  timer(timer&&) = delete;
+  timer& operator=(timer&&) = delete;
+
+  void start(std::chrono::nanoseconds delay, std::function<void()> action);
+  void cancel();
+
+private:
+  struct state;
+  std::shared_ptr<state> m_state;
+};
+
+} // namespace pollenyoke::async_io
--- /dev/null
+++ b/Source/Core/AsyncIo/HttpCaller.cpp
@@ -0,0 +1,153 @@
+#include "AsyncIo/HttpCaller.h"
+
+#include <algorithm>
+
+#include "AsyncIo/HttpParser.h"
+#include "AsyncIo/IdlePool.h"
+
+namespace pollenyoke::async_io
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds connect_timeout{800};
+// Idle connections are dropped before the servers' own idle time-outs of a few seconds and more.
+constexpr std::chrono::milliseconds idle_lifetime{4000};
+constexpr std::size_t max_idle_per_address = 2;
+// A page of the store holds up to 1 MB before base64.
+constexpr parse_limits response_limits{65536, 8U << 20U};
+
+std::string write_request(const http_call& call)
+{
+  std::string out = call.method + " " + call.target + " HTTP/1.1\r\n";
+  append_field(out, "Host", transport::to_string(call.address));
+  if (!call.content_type.empty())
+  {
+    append_field(out, "Content-Type", call.content_type);
+  }
+  if (!call.body.empty() || call.method != "GET")
+  {
+    append_field(out, "Content-Length", std::to_string(call.body.size()));
+  }
+  return out.append("\r\n").append(call.body);
+}
+
+} // namespace
+
+struct http_caller::exchange : std::enable_shared_from_this<exchange>
+{
+  exchange(event_loop& loop, std::shared_ptr<idle_pool> connections, http_call what,
+           handler callback)
+      : owner(std::move(connections)), call(std::move(what)), done(std::move(callback)),
+        deadline(loop), parser(message_kind::response, response_limits)
+  {
+  }
+
+  std::shared_ptr<idle_pool> owner;
+  http_call call;
+  handler done;
+  timer deadline;
+  http_parser parser;
+  tcp_connection::pointer connection;
+
+  void begin(event_loop& loop)
+  {
+    deadline.start(call.timeout, [self = shared_from_this()]
+                   { self->finish(fail(error_code::timeout, "no answer in time")); });
+    connection = owner->take(call.address);
+    if (connection)
+    {
+      send();
+      return;
+    }
+    connection = tcp_connection::make(loop);
+    connection->connect(call.address, std::min(connect_timeout, call.timeout),
+                        [self = shared_from_this()](const result<void>& outcome)
+                        {
+                          if (!outcome)
+                          {
+                            self->finish(fail(error_code::unavailable, outcome.error().message));
+                            return;
+                          }
+                          self->send();
+                        });
+  }
+
+  void send()
+  {
+    const auto self = shared_from_this();
+    connection->start([self](std::string_view data) { self->receive(data); },
+                      [self](close_reason reason) { self->ended(reason); });
+    connection->write(write_request(call));
+  }
+
+  void receive(std::string_view data)
+  {
+    parser.feed(data);
+    if (parser.failure() != parse_failure::none)
+    {
+      finish(fail(error_code::malformed, "answer is not valid HTTP"));
+      return;
+    }
+    if (parser.is_complete())
+    {
+      complete(parser.keep_alive() && parser.take_surplus().empty());
+    }
+  }
+
+  void ended(close_reason reason)
+  {
+    if (reason == close_reason::end_of_stream && parser.has_head())
+    {
+      parser.feed_end();
+      if (parser.is_complete())
+      {
+        complete(false);
+        return;
+      }
+    }
+    finish(fail(error_code::closed, "connection ended before the whole answer"));
+  }
+
+  void complete(bool reusable)
+  {
+    if (reusable)
+    {
+      owner->put(call.address, connection, idle_lifetime);
+      connection = nullptr;
+    }
+    finish(http_response{parser.head(), parser.take_body()});
+  }
+
+  void finish(result<http_response> outcome)
+  {
+    if (!done)
+    {
+      return;
+    }
+    const handler report = std::move(done);
+    done = nullptr;
+    deadline.cancel();
+    if (connection)
+    {
+      connection->close();
+      connection = nullptr;
+    }
+    report(std::move(outcome));
+  }
+};
+
+http_caller::http_caller(event_loop& loop)
+    : m_loop(loop), m_pool(std::make_shared<idle_pool>(max_idle_per_address))
+{
+}
+
+http_caller::~http_caller() = default;
+
+void http_caller::call(http_call call, handler done)
+{
+  std::make_shared<exchange>(m_loop, m_pool, std::move(call), std::move(done))->begin(m_loop);
+}
+
+} // namespace pollenyoke::async_io
--- /dev/null
+++ b/Source/Core/AsyncIo/HttpCaller.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "AsyncIo/HttpMessage.h"
+#include "AsyncIo/TcpConnection.h"
+
+namespace pollenyoke::async_io
+{
+
+class idle_pool;
+
+struct http_call
+{
+  transport::endpoint address;
+  std::string method = "GET";
+  std::string target;
+  std::string content_type;
+  std::string body;
+  /// Limit for the whole call, connection included.
+  std::chrono::milliseconds timeout{2000};
+};
+
+/// Calls servers and keeps idle connections for later calls. A call is never repeated. Error codes:
+/// `unavailable`: nothing was sent; `timeout`, `closed`: the call may have been executed.
+class http_caller
+{
+public:
+  using handler = std::function<void(result<http_response>)>;
+
+  explicit http_caller(event_loop& loop);
+  ~http_caller();
+  http_caller(const http_caller&) = delete;
+  http_caller& operator=(const http_caller&) = delete;
+  http_caller(http_caller&&) = delete;
+  http_caller& operator=(http_caller&&) = delete;
+
+  void call(http_call call, handler done);
+
+private:
+  struct exchange;
+
+  event_loop& m_loop;
+  std::shared_ptr<idle_pool> m_pool;
+};
+
+} // namespace pollenyoke::async_io
--- /dev/null
+++ b/Source/Core/AsyncIo/TcpConnection.cpp
@@ -0,0 +1,402 @@
+#include "AsyncIo/TcpConnection.h"
+
+#include <deque>
+#include <optional>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "Common/Log.h"
+
+namespace pollenyoke::async_io
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+// A peer without power neither answers nor resets. Unacknowledged bytes and probes that stay
+// without an answer this long end the connection; well under the request deadlines of seconds.
+constexpr int unacknowledged_timeout_ms = 2000;
+constexpr int keepalive_idle_s = 2;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_probes = 2;
+// After a last answer the peer gets this long to read it and close.
+constexpr std::chrono::milliseconds linger_timeout{1000};
+// Pause after a failed accept, for example when descriptors run out.
+constexpr std::chrono::milliseconds accept_pause{20};
+
+void set_option(int socket, int level, int name, int value)
+{
+  // A platform that lacks an option loses only the faster detection of dead peers.
+  (void)::setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+tcp::endpoint to_asio(const transport::endpoint& address)
+{
+  return {asio::ip::make_address_v4(address.ip), address.port};
+}
+
+} // namespace
+
+struct tcp_connection::state
+{
+  explicit state(event_loop& owner) : loop(owner), socket(owner.context()), deadline(owner) {}
+
+  event_loop& loop;
+  tcp::socket socket;
+  timer deadline;
+  data_handler on_data;
+  close_handler on_close;
+  std::function<void()> on_sent;
+  std::deque<std::string> queue;
+  std::size_t unsent = 0;
+  bool writing = false;
+  bool reading = false;
+  bool paused = false;
+  bool open = false;
+  bool closing = false;
+};
+
+tcp_connection::tcp_connection(event_loop& loop) : m_state(std::make_unique<state>(loop)) {}
+
+tcp_connection::~tcp_connection() = default;
+
+tcp_connection::pointer tcp_connection::make(event_loop& loop)
+{
+  return pointer(new tcp_connection(loop));
+}
+
+void tcp_connection::set_options()
+{
+  boost::system::error_code ignored;
+  m_state->socket.non_blocking(true, ignored);
+  const int socket = m_state->socket.native_handle();
+  set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+  set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_timeout_ms);
+  set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+  set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+  set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+}
+
+void tcp_connection::connect(const transport::endpoint& address, std::chrono::milliseconds timeout,
+                             std::function<void(result<void>)> done)
+{
+  auto report = std::make_shared<std::function<void(result<void>)>>(std::move(done));
+  const auto finish = [self = shared_from_this(), report](result<void> outcome)
+  {
+    if (!*report)
+    {
+      return;
+    }
+    const auto call = std::move(*report);
+    *report = nullptr;
+    self->m_state->deadline.cancel();
+    if (outcome)
+    {
+      self->m_state->open = true;
+      self->set_options();
+    }
+    else
+    {
+      self->close();
+    }
+    call(std::move(outcome));
+  };
+  boost::system::error_code failure;
+  m_state->socket.open(tcp::v4(), failure);
+  if (failure)
+  {
+    m_state->loop.post([finish, text = failure.message()]
+                       { finish(fail(error_code::limit_exceeded, text)); });
+    return;
+  }
+  m_state->deadline.start(
+      timeout,
+      [finish] { finish(fail(error_code::timeout, "connection not established in time")); });
+  m_state->socket.async_connect(
+      to_asio(address),
+      [finish](const boost::system::error_code& code)
+      {
+        if (code == asio::error::operation_aborted)
+        {
+          return;
+        }
+        finish(code ? result<void>(fail(error_code::unavailable, code.message())) : result<void>());
+      });
+}
+
+void tcp_connection::start(data_handler on_data, close_handler on_close)
+{
+  m_state->on_data = std::move(on_data);
+  m_state->on_close = std::move(on_close);
+  m_state->paused = false;
+  wait_readable();
+}
+
+void tcp_connection::wait_readable()
+{
+  if (m_state->reading || m_state->paused || !m_state->open)
+  {
+    return;
+  }
+  m_state->reading = true;
+  m_state->socket.async_wait(tcp::socket::wait_read,
+                             [self = shared_from_this()](const boost::system::error_code& failure)
+                             {
+                               self->m_state->reading = false;
+                               if (!failure)
+                               {
+                                 self->read_available();
+                               }
+                             });
+}
+
+void tcp_connection::read_available()
+{
+  if (!m_state->open || m_state->paused)
+  {
+    return;
+  }
+  const auto buffer = m_state->loop.scratch();
+  boost::system::error_code failure;
+  const std::size_t received =
+      m_state->socket.read_some(asio::buffer(buffer.data(), buffer.size()), failure);
+  if (failure == asio::error::would_block || failure == asio::error::interrupted)
+  {
+    wait_readable();
+    return;
+  }
+  if (failure)
+  {
+    end(failure == asio::error::eof ? close_reason::end_of_stream : close_reason::reset);
+    return;
+  }
+  if (!m_state->closing && m_state->on_data)
+  {
+    // The handler may replace or clear the callbacks.
+    const data_handler handler = m_state->on_data;
+    handler(std::string_view(buffer.data(), received));
+  }
+  wait_readable();
+}
+
+void tcp_connection::write(std::string data)
+{
+  if (!m_state->open || m_state->closing || data.empty())
+  {
+    return;
+  }
+  m_state->unsent += data.size();
+  m_state->queue.push_back(std::move(data));
+  if (!m_state->writing)
+  {
+    write_next();
+  }
+}
+
+void tcp_connection::write_next()
+{
+  m_state->writing = true;
+  asio::async_write(
+      m_state->socket, asio::buffer(m_state->queue.front()),
+      [self = shared_from_this()](const boost::system::error_code& failure, std::size_t written)
+      {
+        state& s = *self->m_state;
+        s.writing = false;
+        if (!s.open)
+        {
+          return;
+        }
+        if (failure)
+        {
+          self->end(close_reason::reset);
+          return;
+        }
+        s.unsent -= written;
+        s.queue.pop_front();
+        if (!s.queue.empty())
+        {
+          self->write_next();
+          return;
+        }
+        if (s.closing)
+        {
+          boost::system::error_code ignored;
+          s.socket.shutdown(tcp::socket::shutdown_send, ignored);
+          return;
+        }
+        if (s.on_sent)
+        {
+          const auto handler = s.on_sent;
+          handler();
+        }
+      });
+}
+
+void tcp_connection::set_sent_handler(std::function<void()> handler)
+{
+  m_state->on_sent = std::move(handler);
+}
+
+std::size_t tcp_connection::unsent_bytes() const
+{
+  return m_state->unsent;
+}
+
+void tcp_connection::pause_reading()
+{
+  m_state->paused = true;
+}
+
+void tcp_connection::resume_reading()
+{
+  if (m_state->paused)
+  {
+    m_state->paused = false;
+    wait_readable();
+  }
+}
+
+bool tcp_connection::is_open() const
+{
+  return m_state->open && !m_state->closing;
+}
+
+void tcp_connection::end(close_reason reason)
+{
+  const close_handler handler = m_state->closing ? nullptr : m_state->on_close;
+  close();
+  if (handler)
+  {
+    handler(reason);
+  }
+}
+
+void tcp_connection::close()
+{
+  m_state->open = false;
+  m_state->deadline.cancel();
+  m_state->on_data = nullptr;
+  m_state->on_close = nullptr;
+  m_state->on_sent = nullptr;
+  boost::system::error_code ignored;
+  m_state->socket.close(ignored);
+}
+
+void tcp_connection::close_when_sent()
+{
+  if (!is_open())
+  {
+    return;
+  }
+  m_state->closing = true;
+  m_state->on_data = nullptr;
+  m_state->on_close = nullptr;
+  m_state->on_sent = nullptr;
+  m_state->paused = false;
+  if (!m_state->writing)
+  {
+    boost::system::error_code ignored;
+    m_state->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+  m_state->deadline.start(linger_timeout, [self = shared_from_this()] { self->close(); });
+  wait_readable();
+}
+
+struct tcp_listener::state
+{
+  state(event_loop& owner, accept_handler handler)
+      : loop(owner), acceptor(owner.context()), pause(owner), on_accept(std::move(handler))
+  {
+  }
+
+  event_loop& loop;
+  tcp::acceptor acceptor;
+  timer pause;
+  accept_handler on_accept;
+};
+
+tcp_listener::tcp_listener(event_loop& loop, accept_handler on_accept)
+    : m_state(std::make_shared<state>(loop, std::move(on_accept)))
+{
+}
+
+tcp_listener::~tcp_listener()
+{
+  close();
+}
+
+result<void> tcp_listener::listen(const transport::endpoint& address)
+{
+  boost::system::error_code failure;
+  const auto local = to_asio(address);
+  m_state->acceptor.open(tcp::v4(), failure);
+  if (!failure)
+  {
+    m_state->acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    m_state->acceptor.bind(local, failure);
+  }
+  if (!failure)
+  {
+    m_state->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure)
+  {
+    return fail(error_code::unavailable,
+                "cannot listen on " + transport::to_string(address) + ": " + failure.message());
+  }
+  accept_next();
+  return {};
+}
+
+std::uint16_t tcp_listener::port() const
+{
+  boost::system::error_code ignored;
+  return m_state->acceptor.local_endpoint(ignored).port();
+}
+
+void tcp_listener::accept_next()
+{
+  if (!m_state->acceptor.is_open())
+  {
+    return;
+  }
+  auto connection = tcp_connection::make(m_state->loop);
+  m_state->acceptor.async_accept(
+      connection->m_state->socket,
+      [this, alive = std::weak_ptr<state>(m_state),
+       connection](const boost::system::error_code& failure)
+      {
+        const auto listener = alive.lock();
+        if (!listener || !listener->acceptor.is_open())
+        {
+          return;
+        }
+        if (failure)
+        {
+          log_warning(log_category::transport, "accept failed", {{"reason", failure.message()}});
+          listener->pause.start(accept_pause, [this] { accept_next(); });
+          return;
+        }
+        connection->m_state->open = true;
+        connection->set_options();
+        listener->on_accept(connection);
+        accept_next();
+      });
+}
+
+void tcp_listener::close()
+{
+  boost::system::error_code ignored;
+  m_state->acceptor.close(ignored);
+  m_state->pause.cancel();
+}
+
+} // namespace pollenyoke::async_io
--- /dev/null
+++ b/Source/Core/AsyncIo/TcpConnection.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "AsyncIo/EventLoop.h"
+#include "Common/Result.h"
+#include "Transport/Endpoint.h"
+
+namespace pollenyoke::async_io
+{
+
+enum class close_reason
+{
+  /// The peer ended its side in order.
+  end_of_stream,
+  reset,
+};
+
+/// A TCP connection with callbacks. No callback is called after close(). Writes are queued.
+class tcp_connection : public std::enable_shared_from_this<tcp_connection>
+{
+public:
+  using pointer = std::shared_ptr<tcp_connection>;
+  using data_handler = std::function<void(std::string_view)>;
+  using close_handler = std::function<void(close_reason)>;
+
+  static pointer make(event_loop& loop);
+  ~tcp_connection();
+  tcp_connection(const tcp_connection&) = delete;
+  tcp_connection& operator=(const tcp_connection&) = delete;
+  tcp_connection(tcp_connection&&) = delete;
+  tcp_connection& operator=(tcp_connection&&) = delete;
+
+  /// `done` gets an error text if the connection is not established in time.
+  void connect(const transport::endpoint& address, std::chrono::milliseconds timeout,
+               std::function<void(result<void>)> done);
+  /// Starts reading.
+  void start(data_handler on_data, close_handler on_close);
+  void write(std::string data);
+  /// Called each time all queued bytes have been passed to the kernel.
+  void set_sent_handler(std::function<void()> handler);
+  std::size_t unsent_bytes() const;
+  void pause_reading();
+  void resume_reading();
+  bool is_open() const;
+  /// Closes at once; queued bytes are dropped. A reset is sent if bytes of the peer are unread.
+  void close();
+  /// Sends what is queued, ends the sending side, and reads on for a short time so that the peer
+  /// receives the last bytes before the connection ends.
+  void close_when_sent();
+
+private:
+  friend class tcp_listener;
+  struct state;
+
+  explicit tcp_connection(event_loop& loop);
+  void set_options();
+  void wait_readable();
+  void read_available();
+  void write_next();
+  void end(close_reason reason);
+
+  std::unique_ptr<state> m_state;
+};
+
+/// Accepts connections on one address.
+class tcp_listener
+{
+public:
+  using accept_handler = std::function<void(tcp_connection::pointer)>;
+
+  tcp_listener(event_loop& loop, accept_handler on_accept);
+  ~tcp_listener();
+  tcp_listener(const tcp_listener&) = delete;
+  tcp_listener& operator=(const tcp_listener&) = delete;
+  tcp_listener(tcp_listener&&) = delete;
+  tcp_listener& operator=(tcp_listener&&) = delete;
+
+  result<void> listen(const transport::endpoint& address);
+  std::uint16_t port() const;
+  void close();
+
+private:
+  struct state;
+  void accept_next();
+
+  std::shared_ptr<state> m_state;
+};
+
+} // namespace pollenyoke::async_io
--- /dev/null
+++ b/Source/Core/Gateway/BackendAttempt.cpp
@@ -0,0 +1,261 @@
+#include "Gateway/BackendAttempt.h"
+
+#include <algorithm>
+
+#include "platform/Decode.h"
+#include "platform/Names.h"
+
+namespace pollenyoke::gateway
+{
+
+namespace
+{
+
+namespace names = platform::names;
+using async_io::message_head;
+using async_io::message_kind;
+using std::chrono::milliseconds;
+
+constexpr async_io::parse_limits answer_limits{65536, 16U << 20U};
+// Servers that do not state their idle time-out keep connections for some seconds at least.
+constexpr milliseconds default_idle{2000};
+constexpr milliseconds longest_idle{8000};
+// A request may cross the server's close near the end of the stated idle time.
+constexpr milliseconds idle_margin{1000};
+
+/// How long an idle connection may be used again after this answer.
+milliseconds idle_lifetime(const message_head& head)
+{
+  const auto* keep_alive = head.find("Keep-Alive");
+  if (keep_alive == nullptr)
+  {
+    return default_idle;
+  }
+  constexpr std::string_view parameter = "timeout=";
+  const auto at = keep_alive->find(parameter);
+  if (at == std::string::npos)
+  {
+    return default_idle;
+  }
+  std::string_view digits = std::string_view(*keep_alive).substr(at + parameter.size());
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  std::uint64_t seconds = 0;
+  if (!async_io::parse_number(digits, seconds))
+  {
+    return default_idle;
+  }
+  const milliseconds stated = std::chrono::seconds(std::min<std::uint64_t>(seconds, 3600));
+  return std::min(longest_idle, stated - idle_margin);
+}
+
+/// An answer of success counts only whole and signed, in the encoding that the caller asked for.
+bool is_spoilt(const message_head& head)
+{
+  const bool success = head.status >= 200 && head.status < 300;
+  return success &&
+         (head.find(names::signature) == nullptr || head.find(names::request_id) == nullptr ||
+          head.find("Content-Encoding") != nullptr);
+}
+
+} // namespace
+
+backend_attempt::backend_attempt(async_io::event_loop& loop, async_io::idle_pool& pool,
+                                 attempt_request request, handlers callbacks)
+    : m_loop(loop), m_pool(pool), m_request(std::move(request)), m_handlers(std::move(callbacks)),
+      m_parser(message_kind::response, answer_limits)
+{
+}
+
+void backend_attempt::start()
+{
+  if (m_request.may_reuse)
+  {
+    m_connection = m_pool.take(m_request.address);
+  }
+  if (m_connection)
+  {
+    m_reused = true;
+    send();
+    return;
+  }
+  m_connection = async_io::tcp_connection::make(m_loop);
+  m_connection->connect(m_request.address, m_request.connect_timeout,
+                        [self = shared_from_this()](const result<void>& outcome)
+                        {
+                          if (self->m_ended)
+                          {
+                            return;
+                          }
+                          if (!outcome)
+                          {
+                            self->end({.end = attempt_end::not_sent,
+                                       .unreachable = true,
+                                       .reason = outcome.error().message});
+                            return;
+                          }
+                          self->send();
+                        });
+}
+
+void backend_attempt::send()
+{
+  const auto self = shared_from_this();
+  if (m_request.is_head)
+  {
+    m_parser.expect_no_body();
+  }
+  m_sent = true;
+  m_connection->start([self](std::string_view data) { self->receive(data); },
+                      [self](async_io::close_reason reason) { self->connection_ended(reason); });
+  m_connection->write(m_request.bytes);
+}
+
+void backend_attempt::receive(std::string_view data)
+{
+  if (m_ended)
+  {
+    return;
+  }
+  m_any_data = true;
+  m_parser.feed(data);
+  process();
+}
+
+void backend_attempt::process()
+{
+  while (!m_ended)
+  {
+    if (m_parser.failure() != async_io::parse_failure::none)
+    {
+      end({.reason = "answer is not valid HTTP"});
+      return;
+    }
+    if (!m_parser.has_head() || (!m_head_taken && !m_skipping && !take_head()))
+    {
+      return;
+    }
+    std::string body = m_parser.take_body();
+    if (!m_skipping && !body.empty())
+    {
+      m_handlers.on_body(std::move(body));
+    }
+    if (m_ended || !m_parser.is_complete())
+    {
+      return;
+    }
+    if (!m_skipping)
+    {
+      complete();
+      return;
+    }
+    next_message();
+  }
+}
+
+bool backend_attempt::take_head()
+{
+  const message_head& head = m_parser.head();
+  if (head.status < 200)
+  {
+    m_skipping = true;
+    return true;
+  }
+  const auto* id = head.find(names::request_id);
+  if (id != nullptr && *id != m_request.request_id)
+  {
+    // A late second answer to an earlier request; the answer to this one may follow it.
+    m_skipping = true;
+    m_reusable = false;
+    return true;
+  }
+  if (platform::says_not_executed(head))
+  {
+    end({.end = attempt_end::not_executed,
+         .reason = "server refused with status " + std::to_string(head.status)});
+    return false;
+  }
+  if (is_spoilt(head))
+  {
+    end({.reason = "answer without signature or with an encoding"});
+    return false;
+  }
+  m_head_taken = true;
+  m_handlers.on_head(head);
+  return !m_ended;
+}
+
+void backend_attempt::next_message()
+{
+  const std::string surplus = m_parser.take_surplus();
+  m_parser = async_io::http_parser(message_kind::response, answer_limits);
+  if (m_request.is_head)
+  {
+    m_parser.expect_no_body();
+  }
+  m_skipping = false;
+  m_parser.feed(surplus);
+}
+
+void backend_attempt::connection_ended(async_io::close_reason reason)
+{
+  if (m_ended)
+  {
+    return;
+  }
+  if (reason == async_io::close_reason::end_of_stream && m_head_taken)
+  {
+    m_reusable = false;
+    m_parser.feed_end();
+    process();
+    if (m_ended)
+    {
+      return;
+    }
+  }
+  end({.stale_connection = m_reused && !m_any_data,
+       .reason = m_any_data ? "connection ended within the answer"
+                            : "connection ended before the answer"});
+}
+
+void backend_attempt::complete()
+{
+  const bool reusable = m_reusable && m_parser.keep_alive() && m_connection->is_open() &&
+                        m_connection->unsent_bytes() == 0 && m_parser.take_surplus().empty();
+  if (reusable)
+  {
+    m_pool.put(m_request.address, m_connection, idle_lifetime(m_parser.head()));
+    m_connection = nullptr;
+  }
+  end({.complete = true});
+}
+
+void backend_attempt::abandon(const std::string& reason)
+{
+  end({.end = m_sent ? attempt_end::unknown : attempt_end::not_sent,
+       .unreachable = !m_sent,
+       .reason = reason});
+}
+
+void backend_attempt::cancel()
+{
+  m_ended = true;
+  m_handlers = {};
+  if (m_connection)
+  {
+    m_connection->close();
+    m_connection = nullptr;
+  }
+}
+
+void backend_attempt::end(attempt_result result)
+{
+  if (m_ended)
+  {
+    return;
+  }
+  const auto on_end = std::move(m_handlers.on_end);
+  cancel();
+  on_end(result);
+}
+
+} // namespace pollenyoke::gateway
--- /dev/null
+++ b/Source/Core/Gateway/BackendTable.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+#include "Peers/PeerMessages.h"
+#include "Protocol/ServingModel.h"
+
+namespace pollenyoke::gateway
+{
+
+using time_point = std::chrono::steady_clock::time_point;
+using std::chrono::milliseconds;
+
+/// How an attempt at a backend server ended, as far as it says something about the server.
+enum class attempt_health
+{
+  good,
+  /// The server answered that it is full.
+  full,
+  /// The connection was refused or not established.
+  unreachable,
+  /// Broken off, spoilt, silent for too long, or an error of the server.
+  failed,
+};
+
+struct choice_request
+{
+  std::string service;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t answer_tokens = 0;
+  /// Engines with older weights are not chosen; 0 for any.
+  std::uint64_t minimum_version = 0;
+  std::string own_domain;
+  std::set<std::string> excluded;
+};
+
+struct backend_choice
+{
+  std::string id;
+  transport::endpoint address;
+  /// Expected time to the first byte, or the first event, in milliseconds.
+  double first_byte_ms = 0;
+  /// Version of the server's weights, as far as known; 0 if unknown.
+  std::uint64_t weight_version = 0;
+};
+
+/// What a service looks like to this process.
+struct service_view
+{
+  std::size_t servers = 0;
+  /// Servers that take new requests now.
+  std::size_t usable = 0;
+};
+
+/// The backend servers with their load, as this process knows it, and the choice among them. Time
+/// is passed in. Not thread-safe.
+class backend_table
+{
+public:
+  explicit backend_table(std::uint64_t random_seed);
+
+  void set_services(const std::map<std::string, protocol::service>& services);
+  void put(const protocol::backend_entry& entry, time_point now);
+  /// `lapse_until`: the record may only have lapsed; the server stays in use until then.
+  void remove(const std::string& id, std::optional<time_point> lapse_until);
+  void take_load(const peers::load_message& load, time_point now);
+
+  std::optional<backend_choice> choose(const choice_request& request, time_point now);
+  service_view view(const std::string& service, time_point now) const;
+
+  void begin_attempt(const std::string& id, time_point now);
+  void end_attempt(const std::string& id, attempt_health health, time_point now);
+
+private:
+  struct server
+  {
+    protocol::backend_entry entry;
+    std::optional<time_point> gone_at;
+    /// Attempts of this process that have not ended.
+    unsigned in_flight = 0;
+    std::optional<peers::load_message> load;
+    time_point load_received{};
+    /// Attempts of this process that the last load report may not show.
+    std::deque<time_point> unreported;
+    /// Moving share of attempts that failed.
+    double failure_share = 0;
+    unsigned consecutive_failures = 0;
+    unsigned times_ejected = 0;
+    time_point ejected_until{};
+    bool on_trial = false;
+  };
+
+  static std::uint64_t known_version(const server& backend);
+  bool is_usable(const server& backend, const choice_request& request, time_point now) const;
+  static bool is_present(const server& backend, time_point now);
+  double expected_first_byte_ms(const server& backend, const choice_request& request,
+                                const protocol::service* service, time_point now) const;
+  void eject(server& backend, time_point now);
+  std::size_t ejected_servers(const std::string& service, time_point now) const;
+
+  std::map<std::string, server> m_servers;
+  std::map<std::string, protocol::service> m_services;
+  std::mt19937_64 m_random;
+};
+
+} // namespace pollenyoke::gateway
--- /dev/null
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -0,0 +1,384 @@
+#include "Gateway/CallerSession.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include "Common/Log.h"
+#include "platform/Decode.h"
+#include "platform/Names.h"
+
+namespace pollenyoke::gateway
+{
+
+namespace
+{
+
+namespace names = platform::names;
+using async_io::append_field;
+using async_io::message_kind;
+using async_io::parse_failure;
+
+// Bytes of later requests that a caller may send ahead of its answer.
+constexpr std::size_t max_ahead_bytes = 65536;
+// A caller that does not read its answer is cut off before its answers fill the memory.
+constexpr std::size_t max_unsent_bytes = 8U << 20U;
+// A caller that sends nothing of a begun body for this long has gone.
+constexpr std::chrono::seconds body_pause{5};
+
+bool has_valid_host(const async_io::message_head& head)
+{
+  return head.count("Host") == 1;
+}
+
+bool is_known_method(std::string_view method)
+{
+  constexpr std::array<std::string_view, 7> known = {"GET",    "HEAD",  "POST",   "PUT",
+                                                     "DELETE", "PATCH", "OPTIONS"};
+  return std::find(known.begin(), known.end(), method) != known.end();
+}
+
+std::string chunk(std::string_view data)
+{
+  std::array<char, 20> size{};
+  const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+  std::string out(size.data(), static_cast<std::size_t>(length));
+  return out.append(data).append("\r\n");
+}
+
+} // namespace
+
+caller_session::caller_session(gateway_context& context,
+                               async_io::tcp_connection::pointer connection, ended_handler on_ended)
+    : m_context(context), m_connection(std::move(connection)), m_on_ended(std::move(on_ended)),
+      m_timer(context.loop),
+      m_parser(message_kind::request, {limits().head_bytes, limits().body_bytes})
+{
+}
+
+const protocol::caller_limits& caller_session::limits() const
+{
+  static const protocol::caller_limits before_configuration;
+  return m_context.routes ? m_context.routes->config().limits : before_configuration;
+}
+
+void caller_session::start()
+{
+  const auto self = shared_from_this();
+  m_connection->start([self](std::string_view data) { self->receive(data); },
+                      [self](async_io::close_reason) { self->close(); });
+  restart_idle_timer();
+}
+
+void caller_session::restart_idle_timer()
+{
+  m_timer.start(limits().idle_timeout, [self = shared_from_this()] { self->close(); });
+}
+
+bool caller_session::is_busy() const
+{
+  return m_exchange != nullptr || m_parser.has_started();
+}
+
+void caller_session::close_if_idle()
+{
+  if (!is_busy())
+  {
+    close();
+  }
+}
+
+void caller_session::close()
+{
+  if (m_closed)
+  {
+    return;
+  }
+  m_closed = true;
+  m_timer.cancel();
+  if (m_exchange)
+  {
+    m_exchange->cancel();
+    m_exchange = nullptr;
+  }
+  if (m_connection->is_open())
+  {
+    m_connection->close();
+  }
+  m_on_ended(shared_from_this());
+}
+
+void caller_session::receive(std::string_view data)
+{
+  const bool first = !m_parser.has_started();
+  m_parser.feed(data);
+  if (m_exchange)
+  {
+    // Reading goes on so that the caller's close is seen; a caller that sends on is cut off.
+    if (m_parser.surplus_bytes() > max_ahead_bytes)
+    {
+      log_warning(log_category::requests, "caller sends ahead without reading its answer",
+                  {{"id", m_request_id}});
+      close();
+    }
+    return;
+  }
+  if (first && !m_parser.has_head())
+  {
+    m_timer.start(limits().head_timeout, [self = shared_from_this()]
+                  { self->reject(408, "head of the request not received in time"); });
+  }
+  parse();
+}
+
+void caller_session::parse()
+{
+  if (m_closed || m_exchange)
+  {
+    return;
+  }
+  if (m_parser.failure() != parse_failure::none)
+  {
+    const auto failure = m_parser.failure();
+    reject(failure == parse_failure::head_too_large   ? 431
+           : failure == parse_failure::body_too_large ? 413
+                                                      : 400,
+           "request cannot be read");
+    return;
+  }
+  if (!m_parser.has_head())
+  {
+    return;
+  }
+  if (!m_head_checked)
+  {
+    m_head_checked = true;
+    check_head();
+    if (m_closed)
+    {
+      return;
+    }
+  }
+  std::string body = m_parser.take_body();
+  if (!m_answered_early)
+  {
+    m_body.append(body);
+  }
+  if (!m_parser.is_complete())
+  {
+    m_timer.start(body_pause, [self = shared_from_this()]
+                  { self->reject(408, "body of the request not received in time"); });
+    return;
+  }
+  m_timer.cancel();
+  if (m_answered_early)
+  {
+    next_request();
+    return;
+  }
+  begin_request();
+}
+
+void caller_session::check_head()
+{
+  const async_io::message_head& head = m_parser.head();
+  m_keep = m_parser.keep_alive();
+  m_request = {};
+  m_request.arrived = std::chrono::steady_clock::now();
+  m_request.labels = platform::decode_labels(head);
+  m_request_id = m_request.labels.id;
+  m_table = m_context.routes;
+  if (!has_valid_host(head) || !is_known_method(head.method) || !head.target.starts_with('/'))
+  {
+    reject(400, "request is not valid");
+    return;
+  }
+  if (const auto* expect = head.find("Expect");
+      expect != nullptr && async_io::equals_ignoring_case(*expect, "100-continue"))
+  {
+    m_connection->write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  if (!m_table)
+  {
+    m_answered_early = true;
+    respond(503, milliseconds(500), "no configuration yet");
+    return;
+  }
+  const protocol::route* route = m_table->find(*head.find("Host"), async_io::path_of(head.target));
+  if (route == nullptr)
+  {
+    m_answered_early = true;
+    respond(404, std::nullopt, "no route");
+    return;
+  }
+  m_request.caller = identify(m_table->config(), *route, m_request.labels.key);
+  if (!m_request.caller.accepted)
+  {
+    m_answered_early = true;
+    respond(401, std::nullopt, "key is not known");
+    return;
+  }
+  m_request.route = route;
+}
+
+void caller_session::begin_request()
+{
+  m_request.head = m_parser.head();
+  m_request.body = std::move(m_body);
+  m_body.clear();
+  m_request.table = m_table;
+  m_request.service = choose_service(*m_request.route, m_context.draw());
+  m_exchange = std::make_shared<request_exchange>(m_context, std::move(m_request), make_sink());
+  m_request = {};
+  // The exchange may end, and this session let go of it, within start().
+  const auto exchange = m_exchange;
+  exchange->start();
+}
+
+answer_sink caller_session::make_sink()
+{
+  const auto self = shared_from_this();
+  return {
+      .head = [self](const async_io::message_head& head, std::optional<std::size_t> size)
+      { self->write_head(head, size); },
+      .body = [self](std::string data) { self->write_body(std::move(data)); },
+      .finish = [self] { self->finish_answer(); },
+      .refuse =
+          [self](unsigned status, std::optional<milliseconds> retry_after, std::string_view reason)
+      {
+        self->respond(status, retry_after, reason);
+        self->m_exchange = nullptr;
+        self->next_request();
+      },
+      .cut =
+          [self]
+      {
+        self->close();
+      }};
+}
+
+bool caller_session::keeps_connection() const
+{
+  return m_keep && !m_context.stopping;
+}
+
+void caller_session::write_head(const async_io::message_head& head,
+                                std::optional<std::size_t> body_size)
+{
+  std::string out = "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
+  for (const async_io::header_field& field : head.fields)
+  {
+    if (!async_io::is_connection_field(head, field.name))
+    {
+      append_field(out, field.name, field.value);
+    }
+  }
+  const bool old_caller = m_parser.head().version < 11;
+  m_chunked = !body_size && !old_caller;
+  if (body_size)
+  {
+    append_field(out, "Content-Length", std::to_string(*body_size));
+  }
+  else if (m_chunked)
+  {
+    append_field(out, "Transfer-Encoding", "chunked");
+  }
+  else
+  {
+    m_keep = false;
+  }
+  if (!keeps_connection())
+  {
+    m_keep = false;
+    append_field(out, "Connection", "close");
+  }
+  m_connection->write(out.append("\r\n"));
+}
+
+void caller_session::write_body(std::string data)
+{
+  if (data.empty())
+  {
+    return;
+  }
+  m_connection->write(m_chunked ? chunk(data) : std::move(data));
+  if (m_connection->unsent_bytes() > max_unsent_bytes)
+  {
+    log_warning(log_category::requests, "caller does not read its answer", {{"id", m_request_id}});
+    close();
+  }
+}
+
+void caller_session::finish_answer()
+{
+  if (m_chunked)
+  {
+    m_connection->write("0\r\n\r\n");
+    m_chunked = false;
+  }
+  m_exchange = nullptr;
+  next_request();
+}
+
+void caller_session::respond(unsigned status, std::optional<milliseconds> retry_after,
+                             std::string_view reason)
+{
+  std::string extra;
+  if (!m_request_id.empty())
+  {
+    append_field(extra, names::request_id, m_request_id);
+  }
+  if (retry_after)
+  {
+    std::array<char, 24> seconds{};
+    const int length = std::snprintf(seconds.data(), seconds.size(), "%.3f",
+                                     static_cast<double>(retry_after->count()) / 1000);
+    append_field(extra, "Retry-After",
+                 std::string_view(seconds.data(), static_cast<std::size_t>(length)));
+  }
+  m_keep = keeps_connection();
+  m_connection->write(
+      async_io::make_response(status, "text/plain", std::string(reason) + "\n", m_keep, extra));
+  if (status != 503)
+  {
+    m_context.metrics.add("answers_" + std::to_string(status));
+  }
+}
+
+void caller_session::reject(unsigned status, std::string_view reason)
+{
+  log_debug(log_category::requests, "request rejected",
+            {{"id", m_request_id}, {"status", status}, {"reason", reason}});
+  m_keep = false;
+  respond(status, std::nullopt, reason);
+  m_connection->close_when_sent();
+  close();
+}
+
+void caller_session::next_request()
+{
+  if (m_closed)
+  {
+    return;
+  }
+  if (!m_keep)
+  {
+    m_connection->close_when_sent();
+    close();
+    return;
+  }
+  const std::string surplus = m_parser.take_surplus();
+  m_parser =
+      async_io::http_parser(message_kind::request, {limits().head_bytes, limits().body_bytes});
+  m_head_checked = false;
+  m_answered_early = false;
+  m_body.clear();
+  m_request_id.clear();
+  restart_idle_timer();
+  if (!surplus.empty())
+  {
+    m_context.loop.post([self = shared_from_this(), surplus] { self->receive(surplus); });
+  }
+}
+
+} // namespace pollenyoke::gateway
--- /dev/null
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -0,0 +1,166 @@
+#include "Gateway/Gateway.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+#include "StateFeed/StateFeed.h"
+
+namespace pollenyoke::gateway
+{
+
+namespace
+{
+
+// Idle connections kept to one backend server. With 60 entries this stays below half of the fewest
+// connections that a server accepts.
+constexpr std::size_t idle_per_server = 4;
+// Callers learn within this time that an entry is leaving; until then their requests are served.
+constexpr milliseconds serve_after_stop{3300};
+// The process ends this long before the platform would kill it.
+constexpr milliseconds stop_margin{700};
+constexpr milliseconds stop_check_interval{50};
+// Sessions hold a descriptor each; the platform grants some 2,500 for sockets.
+constexpr std::size_t max_sessions = 1500;
+// Lines per second about single requests, and how many may come at once.
+constexpr double log_lines_per_s = 20;
+constexpr double log_burst = 100;
+
+} // namespace
+
+gateway::gateway(async_io::event_loop& loop, const protocol::node_settings& settings,
+                 std::function<std::size_t()> entry_count)
+    : m_context{.loop = loop,
+                .settings = settings,
+                .routes = nullptr,
+                .backends = backend_table(std::random_device{}()),
+                .pool = async_io::idle_pool(idle_per_server),
+                .versions = version_rule(settings.version_limit),
+                .budgets = {},
+                .random = std::mt19937_64(std::random_device{}()),
+                .metrics = {},
+                .log_budget =
+                    token_bucket(log_lines_per_s, log_burst, std::chrono::steady_clock::now()),
+                .dropped_log_lines = 0,
+                .entry_count = std::move(entry_count),
+                .longest_time = {},
+                .stopping = false},
+      m_listener(loop, [this](async_io::tcp_connection::pointer connection)
+                 { accept(std::move(connection)); }),
+      m_stop_timer(loop)
+{
+}
+
+gateway::~gateway()
+{
+  const auto sessions = m_sessions;
+  for (const auto& session : sessions)
+  {
+    session->close();
+  }
+}
+
+result<void> gateway::listen(const transport::endpoint& address)
+{
+  return m_listener.listen(address);
+}
+
+std::uint16_t gateway::port() const
+{
+  return m_listener.port();
+}
+
+void gateway::accept(async_io::tcp_connection::pointer connection)
+{
+  if (m_sessions.size() >= max_sessions)
+  {
+    log_warning(log_category::requests, "connection refused: too many are open");
+    connection->close();
+    return;
+  }
+  const auto session = std::make_shared<caller_session>(
+      m_context, std::move(connection),
+      [this](const std::shared_ptr<caller_session>& ended) { m_sessions.erase(ended); });
+  m_sessions.insert(session);
+  session->start();
+}
+
+void gateway::set_config(protocol::serving_config config)
+{
+  if (m_context.routes && m_context.routes->config().version >= config.version)
+  {
+    return;
+  }
+  log_info(log_category::log, "configuration in force",
+           {{"version", config.version},
+            {"routes", config.routes.size()},
+            {"keys", config.teams_by_key.size()}});
+  m_context.backends.set_services(config.services);
+  m_context.routes = std::make_shared<const route_table>(std::move(config));
+}
+
+void gateway::name_version(const protocol::named_version& version)
+{
+  log_info(log_category::weights, "version named",
+           {{"model", version.model}, {"version", version.version}});
+  m_context.versions.name(version, std::chrono::steady_clock::now());
+}
+
+void gateway::put_backend(const protocol::backend_entry& entry)
+{
+  m_context.backends.put(entry, std::chrono::steady_clock::now());
+}
+
+void gateway::remove_backend(const std::string& id, bool may_have_lapsed)
+{
+  const auto now = std::chrono::steady_clock::now();
+  log_info(log_category::membership, "backend server gone",
+           {{"server", id}, {"may_have_lapsed", may_have_lapsed}});
+  m_context.backends.remove(id, may_have_lapsed ? std::optional(now + state_feed::lapse_window)
+                                                : std::nullopt);
+}
+
+void gateway::take_load(const peers::load_message& load)
+{
+  m_context.backends.take_load(load, std::chrono::steady_clock::now());
+}
+
+bool gateway::is_ready() const
+{
+  return m_context.routes != nullptr && !m_context.stopping;
+}
+
+void gateway::stop(std::function<void()> done)
+{
+  m_context.stopping = true;
+  m_on_stopped = std::move(done);
+  m_stop_began = std::chrono::steady_clock::now();
+  check_stopped();
+}
+
+void gateway::check_stopped()
+{
+  const auto passed = std::chrono::steady_clock::now() - m_stop_began;
+  if (passed >= serve_after_stop)
+  {
+    m_listener.close();
+    const auto sessions = m_sessions;
+    for (const auto& session : sessions)
+    {
+      session->close_if_idle();
+    }
+    if (m_sessions.empty() || passed >= m_context.settings.stop_grace - stop_margin)
+    {
+      log_info(log_category::process, "stopped", {{"open_sessions", m_sessions.size()}});
+      m_on_stopped();
+      return;
+    }
+  }
+  m_stop_timer.start(stop_check_interval, [this] { check_stopped(); });
+}
+
+std::string gateway::metrics_text() const
+{
+  return m_context.metrics.to_prometheus();
+}
+
+} // namespace pollenyoke::gateway
--- /dev/null
+++ b/Source/Core/Gateway/RepeatBudget.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <chrono>
+#include <deque>
+
+#include "Protocol/NodeSettings.h"
+
+namespace pollenyoke::gateway
+{
+
+/// This process's part of the repeats that all entries together may send to one service. Time is
+/// passed in. Not thread-safe.
+class repeat_budget
+{
+public:
+  using time_point = std::chrono::steady_clock::time_point;
+
+  explicit repeat_budget(protocol::repeat_budget_settings settings);
+
+  void add_request(time_point now);
+  /// Takes one repeat if the budget allows it. `entries`: live entries, this one included.
+  bool try_repeat(time_point now, std::size_t entries);
+
+private:
+  void forget(time_point now);
+
+  protocol::repeat_budget_settings m_settings;
+  std::deque<time_point> m_requests;
+  std::deque<time_point> m_repeats;
+};
+
+} // namespace pollenyoke::gateway
--- /dev/null
+++ b/Source/Core/Node/AgentNode.cpp
@@ -0,0 +1,198 @@
+#include "Node/AgentNode.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+#include "Common/Metrics.h"
+#include "Node/PeerService.h"
+#include "Rollout/RolloutAgent.h"
+#include "StateFeed/StateFeed.h"
+#include "platform/Decode.h"
+#include "platform/StoreClient.h"
+
+namespace pollenyoke::node
+{
+
+namespace
+{
+
+class agent_node
+{
+public:
+  explicit agent_node(const protocol::node_settings& settings)
+      : m_settings(settings), m_caller(m_loop), m_store(m_caller, settings.store),
+        m_peers(m_loop, m_caller, m_store, settings, make_peer_handlers()),
+        m_feed(m_loop, m_store, make_feed_handlers(), false),
+        m_rollout(make_environment(), *settings.engine, make_rollout_handlers())
+  {
+  }
+
+  result<void> run()
+  {
+    auto started = m_peers.start();
+    if (!started)
+    {
+      return started;
+    }
+    m_loop.watch_signals(
+        [this](bool stop)
+        {
+          if (stop)
+          {
+            log_info(log_category::process, "planned stop");
+            m_peers.set_leaving();
+            m_loop.stop();
+          }
+        });
+    m_feed.start();
+    m_rollout.start();
+    m_loop.run();
+    return {};
+  }
+
+private:
+  peer_handlers make_peer_handlers()
+  {
+    return {.operator_offset = [this] { return m_feed.operator_offset(); },
+            .on_peer_offset = [this](std::uint64_t offset) { m_feed.note_peer_offset(offset); },
+            .on_load = [](const peers::load_message&) {},
+            .snapshot = [this] { return m_feed.snapshot(); },
+            .metrics = [this] { return m_metrics.to_prometheus(); },
+            .serve_piece =
+                [this](const async_io::message_head& head,
+                       const async_io::http_listener::responder& respond)
+            {
+              m_rollout.serve_piece(head, respond);
+            }};
+  }
+
+  state_feed::feed_handlers make_feed_handlers()
+  {
+    return {.on_operator_record = [this](const state_feed::record& change)
+            { take_operator_record(change); },
+            .on_backend_record = [](const state_feed::record&, bool) {},
+            .ask_peer =
+                [this](auto done)
+            {
+              m_peers.ask_snapshot(std::move(done));
+            }};
+  }
+
+  rollout::fetch_environment make_environment()
+  {
+    return {.loop = m_loop,
+            .caller = m_caller,
+            .self = m_settings.ip,
+            .peer_port = m_settings.peer_port,
+            .hosts = [this] { return plan_hosts(); },
+            .origin =
+                [this]
+            {
+              return m_origin;
+            }};
+  }
+
+  rollout::rollout_handlers make_rollout_handlers()
+  {
+    return {.on_report = [this](const protocol::engine_report& report, bool loading)
+            {
+              send_load(report, loading);
+            }};
+  }
+
+  std::vector<rollout::plan_host> plan_hosts() const
+  {
+    std::vector<rollout::plan_host> hosts;
+    for (const auto& peer : m_peers.live(peers::peer_role::agent))
+    {
+      hosts.push_back({peer.ip, m_peers.region_of(peer)});
+    }
+    return hosts;
+  }
+
+  void take_operator_record(const state_feed::record& change)
+  {
+    if (!change.value)
+    {
+      return;
+    }
+    auto record = platform::decode_operator_record(change.key, *change.value);
+    if (!record)
+    {
+      log_warning(log_category::log, "record of the operator cannot be read",
+                  {{"key", change.key}, {"reason", record.error().message}});
+      return;
+    }
+    if (const auto* config = std::get_if<protocol::serving_config>(&*record))
+    {
+      take_config(*config);
+    }
+    if (const auto* version = std::get_if<protocol::named_version>(&*record))
+    {
+      // The version record may come before the configuration that names the engine's model.
+      m_versions[version->model] = std::max(m_versions[version->model], version->version);
+      name_own_version();
+    }
+  }
+
+  void take_config(const protocol::serving_config& config)
+  {
+    const auto service = config.services.find(m_settings.service);
+    if (service != config.services.end() && service->second.engine)
+    {
+      m_model = service->second.model;
+      m_rollout.set_model(m_model, service->second.engine->chunks);
+    }
+    for (const auto& [name, other] : config.services)
+    {
+      if (other.origin)
+      {
+        m_origin = *other.origin;
+      }
+    }
+    name_own_version();
+  }
+
+  void name_own_version()
+  {
+    const auto version = m_versions.find(m_model);
+    if (!m_model.empty() && version != m_versions.end())
+    {
+      m_rollout.name_version({m_model, version->second});
+    }
+  }
+
+  void send_load(const protocol::engine_report& report, bool loading)
+  {
+    m_peers.send_load({.engine = transport::to_string(*m_settings.engine),
+                       .waiting = report.waiting,
+                       .running = report.running,
+                       .memory_used = report.memory_used,
+                       .memory_total = report.memory_total,
+                       .weight_version = report.whole ? report.weight_version : 0,
+                       .loading = loading,
+                       .pace = static_cast<float>(report.pace),
+                       .started_ms = report.started_ms});
+  }
+
+  const protocol::node_settings& m_settings;
+  async_io::event_loop m_loop;
+  async_io::http_caller m_caller;
+  platform::store_client m_store;
+  peer_service m_peers;
+  state_feed::state_feed<platform::store_client> m_feed;
+  transport::endpoint m_origin;
+  std::string m_model;
+  std::map<std::string, std::uint64_t> m_versions;
+  rollout::rollout_agent m_rollout;
+  metrics_registry m_metrics;
+};
+
+} // namespace
+
+result<void> run_agent(const protocol::node_settings& settings)
+{
+  return agent_node(settings).run();
+}
+
+} // namespace pollenyoke::node
--- /dev/null
+++ b/Source/Core/Node/EntryNode.cpp
@@ -0,0 +1,205 @@
+#include "Node/EntryNode.h"
+
+#include <algorithm>
+#include <random>
+
+#include "Common/Log.h"
+#include "Gateway/Gateway.h"
+#include "Node/PeerService.h"
+#include "StateFeed/StateFeed.h"
+#include "platform/Decode.h"
+#include "platform/Names.h"
+#include "platform/StoreClient.h"
+
+namespace pollenyoke::node
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Callers keep a lookup answer up to three times as long; a short lifetime lets them hear soon of
+// entries that come and go.
+constexpr std::chrono::seconds lookup_lifetime{2};
+constexpr std::size_t max_lookup_addresses = 64;
+
+class entry_node
+{
+public:
+  explicit entry_node(const protocol::node_settings& settings)
+      : m_settings(settings), m_caller(m_loop), m_store(m_caller, settings.store),
+        m_peers(m_loop, m_caller, m_store, settings, make_peer_handlers()),
+        m_feed(m_loop, m_store, make_feed_handlers(), true),
+        m_gateway(m_loop, settings,
+                  [this] { return m_peers.live(peers::peer_role::entry).size(); }),
+        m_readiness(m_loop, [this](const auto& head, const auto& respond)
+                    { serve_readiness(head, respond); }),
+        m_lookup(m_loop,
+                 [this](const auto& head, const auto& respond) { serve_lookup(head, respond); })
+  {
+  }
+
+  result<void> run()
+  {
+    auto started = m_peers.start()
+                       .and_then([this] { return m_readiness.listen(*m_settings.readiness); })
+                       .and_then([this] { return m_lookup.listen(*m_settings.lookup); })
+                       .and_then([this] { return m_gateway.listen(*m_settings.callers); });
+    if (!started)
+    {
+      return started;
+    }
+    m_loop.watch_signals(
+        [this](bool stop)
+        {
+          if (stop)
+          {
+            begin_stop();
+          }
+        });
+    m_feed.start();
+    m_loop.run();
+    return {};
+  }
+
+private:
+  peer_handlers make_peer_handlers()
+  {
+    return {.operator_offset = [this] { return m_feed.operator_offset(); },
+            .on_peer_offset = [this](std::uint64_t offset) { m_feed.note_peer_offset(offset); },
+            .on_load = [this](const peers::load_message& load) { m_gateway.take_load(load); },
+            .snapshot = [this] { return m_feed.snapshot(); },
+            .metrics = [this] { return m_gateway.metrics_text(); },
+            .serve_piece = nullptr};
+  }
+
+  state_feed::feed_handlers make_feed_handlers()
+  {
+    return {.on_operator_record = [this](const state_feed::record& change)
+            { take_operator_record(change); },
+            .on_backend_record = [this](const state_feed::record& change, bool may_have_lapsed)
+            { take_backend_record(change, may_have_lapsed); },
+            .ask_peer =
+                [this](auto done)
+            {
+              m_peers.ask_snapshot(std::move(done));
+            }};
+  }
+
+  void take_operator_record(const state_feed::record& change)
+  {
+    if (!change.value)
+    {
+      return;
+    }
+    auto record = platform::decode_operator_record(change.key, *change.value);
+    if (!record)
+    {
+      log_warning(log_category::log, "record of the operator cannot be read",
+                  {{"key", change.key}, {"reason", record.error().message}});
+      return;
+    }
+    if (auto* config = std::get_if<protocol::serving_config>(&*record))
+    {
+      m_gateway.set_config(std::move(*config));
+    }
+    if (const auto* version = std::get_if<protocol::named_version>(&*record))
+    {
+      m_gateway.name_version(*version);
+    }
+  }
+
+  void take_backend_record(const state_feed::record& change, bool may_have_lapsed)
+  {
+    if (!change.value)
+    {
+      m_gateway.remove_backend(change.key, may_have_lapsed);
+      return;
+    }
+    const auto entry = platform::decode_backend(change.key, *change.value);
+    if (!entry)
+    {
+      log_debug(log_category::log, "record of a backend server cannot be read",
+                {{"key", change.key}, {"reason", entry.error().message}});
+      return;
+    }
+    m_gateway.put_backend(*entry);
+  }
+
+  void serve_readiness(const async_io::message_head& head,
+                       const async_io::http_listener::responder& respond)
+  {
+    if (async_io::path_of(head.target) != platform::names::readiness_path)
+    {
+      respond({.status = 404});
+      return;
+    }
+    respond({.status = m_gateway.is_ready() && m_feed.has_backends() ? 200U : 503U});
+  }
+
+  void serve_lookup(const async_io::message_head& head,
+                    const async_io::http_listener::responder& respond)
+  {
+    if (async_io::path_of(head.target) != platform::names::lookup_path)
+    {
+      respond({.status = 404});
+      return;
+    }
+    const std::string domain = async_io::query_parameter(head.target, "zone");
+    std::vector<std::string> addresses;
+    auto entries = m_peers.live(peers::peer_role::entry);
+    // Entries of the caller's failure domain come first, in case there are more than fit.
+    std::stable_partition(entries.begin(), entries.end(),
+                          [&](const peers::peer_record& entry)
+                          { return m_peers.domain_of(entry) == domain; });
+    for (const peers::peer_record& entry : entries)
+    {
+      if (addresses.size() < max_lookup_addresses)
+      {
+        addresses.push_back(transport::to_string({entry.ip, m_settings.callers->port}));
+      }
+    }
+    if (addresses.empty())
+    {
+      respond({.status = 503});
+      return;
+    }
+    respond({200, std::string(platform::names::json_type),
+             platform::encode_lookup(addresses,
+                                     std::min(lookup_lifetime, m_settings.lookup_lifetime_limit))});
+  }
+
+  void begin_stop()
+  {
+    if (m_stopping)
+    {
+      m_loop.stop();
+      return;
+    }
+    m_stopping = true;
+    log_info(log_category::process, "planned stop");
+    m_peers.set_leaving();
+    m_gateway.stop([this] { m_loop.stop(); });
+  }
+
+  const protocol::node_settings& m_settings;
+  async_io::event_loop m_loop;
+  async_io::http_caller m_caller;
+  platform::store_client m_store;
+  peer_service m_peers;
+  state_feed::state_feed<platform::store_client> m_feed;
+  gateway::gateway m_gateway;
+  async_io::http_listener m_readiness;
+  async_io::http_listener m_lookup;
+  bool m_stopping = false;
+};
+
+} // namespace
+
+result<void> run_entry(const protocol::node_settings& settings)
+{
+  return entry_node(settings).run();
+}
+
+} // namespace pollenyoke::node
--- /dev/null
+++ b/Source/Core/Node/PeerService.cpp
@@ -0,0 +1,244 @@
+#include "Node/PeerService.h"
+
+#include <algorithm>
+#include <random>
+
+#include "Common/Ids.h"
+#include "Common/Log.h"
+
+namespace pollenyoke::node
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds registration_retry{1000};
+// A process that hears of no other one looks for new ones in the store this often.
+constexpr milliseconds lonely_interval{3000};
+constexpr milliseconds snapshot_timeout{1000};
+
+std::vector<std::string> sorted_domains(const protocol::node_settings& settings)
+{
+  std::vector<std::string> names;
+  for (const auto& [domain, region] : settings.domains)
+  {
+    names.push_back(domain);
+  }
+  return names;
+}
+
+peers::peer_record own_record(const protocol::node_settings& settings)
+{
+  const auto domains = sorted_domains(settings);
+  peers::peer_record record;
+  record.ip = settings.ip;
+  record.role = settings.role == protocol::process_role::entry ? peers::peer_role::entry
+                                                               : peers::peer_role::agent;
+  record.domain = static_cast<std::uint8_t>(
+      std::find(domains.begin(), domains.end(), settings.failure_domain) - domains.begin());
+  record.incarnation = make_incarnation().value;
+  return record;
+}
+
+} // namespace
+
+peer_service::peer_service(async_io::event_loop& loop, async_io::http_caller& caller,
+                           platform::store_client& store, const protocol::node_settings& settings,
+                           peer_handlers handlers)
+    : m_loop(loop), m_caller(caller), m_store(store), m_settings(settings),
+      m_handlers(std::move(handlers)), m_domains(sorted_domains(settings)),
+      m_table(own_record(settings), settings.seeds, std::random_device{}()),
+      m_udp(loop, [this](std::string_view datagram, const transport::endpoint& from)
+            { receive(datagram, from); }),
+      m_http(loop,
+             [this](const async_io::message_head& head,
+                    const async_io::http_listener::responder& respond) { serve(head, respond); }),
+      m_gossip_timer(loop), m_register_timer(loop), m_hosts_timer(loop)
+{
+}
+
+result<void> peer_service::start()
+{
+  const transport::endpoint own{m_settings.ip, m_settings.peer_port};
+  return m_udp.bind(own)
+      .and_then([this, &own] { return m_http.listen(own); })
+      .map(
+          [this]
+          {
+            register_host();
+            read_hosts();
+            gossip();
+          });
+}
+
+void peer_service::gossip()
+{
+  m_table.beat();
+  send_gossip();
+  m_gossip_timer.start(peers::gossip_interval, [this] { gossip(); });
+}
+
+void peer_service::send_gossip()
+{
+  const auto now = std::chrono::steady_clock::now();
+  const std::string datagram =
+      peers::encode_message(m_table.make_message(m_handlers.operator_offset(), now));
+  for (const std::string& ip : m_table.choose_targets(now))
+  {
+    m_udp.send(datagram, {ip, m_settings.peer_port});
+  }
+}
+
+void peer_service::set_leaving()
+{
+  m_table.set_leaving();
+  // All entries hear of it at once, so that lookups stop naming this process.
+  const auto now = std::chrono::steady_clock::now();
+  const std::string datagram =
+      peers::encode_message(m_table.make_message(m_handlers.operator_offset(), now));
+  for (const auto& entry : live(peers::peer_role::entry))
+  {
+    m_udp.send(datagram, {entry.ip, m_settings.peer_port});
+  }
+}
+
+void peer_service::receive(std::string_view datagram, const transport::endpoint& from)
+{
+  const auto message = peers::decode_message(datagram);
+  if (!message)
+  {
+    log_debug(log_category::membership, "datagram cannot be read",
+              {{"from", from.ip}, {"reason", message.error().message}});
+    return;
+  }
+  if (const auto* gossip = std::get_if<peers::gossip_message>(&*message))
+  {
+    m_table.merge(*gossip, std::chrono::steady_clock::now());
+    m_handlers.on_peer_offset(gossip->operator_offset);
+    return;
+  }
+  if (const auto* load = std::get_if<peers::load_message>(&*message))
+  {
+    m_handlers.on_load(*load);
+  }
+}
+
+void peer_service::send_load(const peers::load_message& load)
+{
+  const std::string datagram = peers::encode_message(load);
+  for (const auto& entry : live(peers::peer_role::entry))
+  {
+    m_udp.send(datagram, {entry.ip, m_settings.peer_port});
+  }
+}
+
+std::vector<peers::peer_record> peer_service::live(peers::peer_role role) const
+{
+  return m_table.live(role, std::chrono::steady_clock::now());
+}
+
+const std::string& peer_service::domain_of(const peers::peer_record& peer) const
+{
+  return m_domains.at(std::min<std::size_t>(peer.domain, m_domains.size() - 1));
+}
+
+const std::string& peer_service::region_of(const peers::peer_record& peer) const
+{
+  return m_settings.domains.at(domain_of(peer));
+}
+
+void peer_service::ask_snapshot(std::function<void(result<state_feed::peer_snapshot>)> done)
+{
+  auto entries = live(peers::peer_role::entry);
+  std::erase_if(entries,
+                [this](const peers::peer_record& peer) { return peer.ip == m_settings.ip; });
+  if (entries.empty())
+  {
+    done(fail(error_code::not_found, "no live entry is known"));
+    return;
+  }
+  // In turn, as some of them may be cut off from the store as well.
+  const auto& source = entries[m_next_source++ * 7 % entries.size()];
+  async_io::http_call call;
+  call.address = {source.ip, m_settings.peer_port};
+  call.target = "/state";
+  call.timeout = snapshot_timeout;
+  m_caller.call(std::move(call),
+                [done = std::move(done)](const result<async_io::http_response>& answer)
+                {
+                  if (!answer || answer->head.status != 200)
+                  {
+                    done(fail(error_code::unavailable, "peer does not answer"));
+                    return;
+                  }
+                  done(state_feed::decode_snapshot(answer->body));
+                });
+}
+
+void peer_service::serve(const async_io::message_head& head,
+                         const async_io::http_listener::responder& respond)
+{
+  const auto path = async_io::path_of(head.target);
+  if (path == "/state")
+  {
+    respond({200, "application/octet-stream", state_feed::encode_snapshot(m_handlers.snapshot())});
+    return;
+  }
+  if (path == "/metrics")
+  {
+    respond({200, "text/plain; version=0.0.4", m_handlers.metrics()});
+    return;
+  }
+  if (path == "/piece" && m_handlers.serve_piece)
+  {
+    m_handlers.serve_piece(head, respond);
+    return;
+  }
+  respond({.status = 404});
+}
+
+void peer_service::register_host()
+{
+  m_store.append(state_feed::record_topic::hosts, m_settings.ip,
+                 m_settings.role == protocol::process_role::entry ? "entry" : "agent",
+                 [this](const result<void>& outcome)
+                 {
+                   if (outcome)
+                   {
+                     return;
+                   }
+                   log_warning(log_category::membership, "host not registered in the store",
+                               {{"reason", outcome.error().message}});
+                   m_register_timer.start(registration_retry, [this] { register_host(); });
+                 });
+}
+
+void peer_service::read_hosts()
+{
+  m_store.newest(state_feed::record_topic::hosts,
+                 [this](const result<state_feed::record_page>& page)
+                 {
+                   if (page)
+                   {
+                     for (const auto& host : page->records)
+                     {
+                       m_table.add_candidate(host.key);
+                     }
+                   }
+                 });
+  m_hosts_timer.start(
+      lonely_interval,
+      [this]
+      {
+        if (live(peers::peer_role::entry).size() + live(peers::peer_role::agent).size() <= 1)
+        {
+          read_hosts();
+          return;
+        }
+        m_hosts_timer.start(lonely_interval, [this] { read_hosts(); });
+      });
+}
+
+} // namespace pollenyoke::node
--- /dev/null
+++ b/Source/Core/Node/PeerService.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "AsyncIo/EventLoop.h"
+#include "AsyncIo/HttpCaller.h"
+#include "AsyncIo/HttpListener.h"
+#include "AsyncIo/UdpSocket.h"
+#include "Peers/PeerTable.h"
+#include "Protocol/NodeSettings.h"
+#include "StateFeed/PeerSnapshot.h"
+#include "platform/StoreClient.h"
+
+namespace pollenyoke::node
+{
+
+struct peer_handlers
+{
+  std::function<std::uint64_t()> operator_offset;
+  std::function<void(std::uint64_t)> on_peer_offset;
+  std::function<void(const peers::load_message&)> on_load;
+  std::function<state_feed::peer_snapshot()> snapshot;
+  /// Metrics in Prometheus text format.
+  std::function<std::string()> metrics;
+  /// Answers `GET /piece`; empty where no pieces are held.
+  std::function<void(const async_io::message_head&, const async_io::http_listener::responder&)>
+      serve_piece;
+};
+
+/// Talks with the other processes of the fleet: who is there, load of engines, state and pieces.
+class peer_service
+{
+public:
+  peer_service(async_io::event_loop& loop, async_io::http_caller& caller,
+               platform::store_client& store, const protocol::node_settings& settings,
+               peer_handlers handlers);
+
+  result<void> start();
+  void set_leaving();
+  void send_load(const peers::load_message& load);
+  std::vector<peers::peer_record> live(peers::peer_role role) const;
+  /// Region of a peer's failure domain.
+  const std::string& region_of(const peers::peer_record& peer) const;
+  const std::string& domain_of(const peers::peer_record& peer) const;
+  /// Asks one live process that follows the store for its snapshot.
+  void ask_snapshot(std::function<void(result<state_feed::peer_snapshot>)> done);
+
+private:
+  void gossip();
+  void send_gossip();
+  void receive(std::string_view datagram, const transport::endpoint& from);
+  void serve(const async_io::message_head& head, const async_io::http_listener::responder& respond);
+  void register_host();
+  void read_hosts();
+
+  async_io::event_loop& m_loop;
+  async_io::http_caller& m_caller;
+  platform::store_client& m_store;
+  const protocol::node_settings& m_settings;
+  peer_handlers m_handlers;
+  std::vector<std::string> m_domains;
+  peers::peer_table m_table;
+  async_io::udp_socket m_udp;
+  async_io::http_listener m_http;
+  async_io::timer m_gossip_timer;
+  async_io::timer m_register_timer;
+  async_io::timer m_hosts_timer;
+  std::size_t m_next_source = 0;
+};
+
+} // namespace pollenyoke::node
--- /dev/null
+++ b/Source/Core/Peers/PeerMessages.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "Common/Result.h"
+
+namespace pollenyoke::peers
+{
+
+enum class peer_role : std::uint8_t
+{
+  entry,
+  agent,
+};
+
+/// What processes tell each other about one of them.
+struct peer_record
+{
+  std::string ip;
+  peer_role role = peer_role::entry;
+  /// Position of the failure domain among the sorted names of all.
+  std::uint8_t domain = 0;
+  /// Planned stop: takes no new work.
+  bool leaving = false;
+  std::uint64_t incarnation = 0;
+  std::uint32_t heartbeat = 0;
+
+  bool operator==(const peer_record&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(ip, role, domain, leaving, incarnation, heartbeat);
+  }
+};
+
+struct gossip_message
+{
+  std::vector<peer_record> peers;
+  /// The sender has applied the operator's records up to this offset.
+  std::uint64_t operator_offset = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(peers, operator_offset);
+  }
+};
+
+/// Load of an engine, from the agent on its host to the entries.
+struct load_message
+{
+  /// Address of the engine, `IP:PORT`.
+  std::string engine;
+  std::uint32_t waiting = 0;
+  std::uint32_t running = 0;
+  std::uint64_t memory_used = 0;
+  std::uint64_t memory_total = 0;
+  std::uint64_t weight_version = 0;
+  /// The engine loads weights or is about to; it takes no new requests.
+  bool loading = false;
+  float pace = 1;
+  std::uint64_t started_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(engine, waiting, running, memory_used, memory_total, weight_version, loading, pace,
+            started_ms);
+  }
+};
+
+using peer_message = std::variant<gossip_message, load_message>;
+
+std::string encode_message(const peer_message& message);
+result<peer_message> decode_message(std::string_view datagram);
+
+} // namespace pollenyoke::peers
--- /dev/null
+++ b/Source/Core/Peers/PeerTable.cpp
@@ -0,0 +1,127 @@
+#include "Peers/PeerTable.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace pollenyoke::peers
+{
+
+peer_table::peer_table(peer_record self, std::vector<std::string> seeds, std::uint64_t random_seed)
+    : m_self(std::move(self)), m_random(random_seed)
+{
+  for (const std::string& seed : seeds)
+  {
+    add_candidate(seed);
+  }
+}
+
+void peer_table::beat()
+{
+  ++m_self.heartbeat;
+}
+
+void peer_table::set_leaving()
+{
+  m_self.leaving = true;
+  ++m_self.heartbeat;
+}
+
+void peer_table::add_candidate(const std::string& ip)
+{
+  if (ip != m_self.ip && !m_peers.contains(ip))
+  {
+    m_peers[ip].record.ip = ip;
+  }
+}
+
+void peer_table::merge(const gossip_message& message, time_point now)
+{
+  for (const peer_record& news : message.peers)
+  {
+    if (news.ip == m_self.ip)
+    {
+      continue;
+    }
+    entry& known = m_peers[news.ip];
+    const auto version = std::tie(news.incarnation, news.heartbeat);
+    if (!known.ever_heard || version > std::tie(known.record.incarnation, known.record.heartbeat))
+    {
+      known.record = news;
+      known.heard = now;
+      known.ever_heard = true;
+    }
+  }
+}
+
+bool peer_table::is_live(const entry& peer, time_point now) const
+{
+  return peer.ever_heard && now - peer.heard < silence_limit;
+}
+
+gossip_message peer_table::make_message(std::uint64_t operator_offset, time_point now)
+{
+  gossip_message message;
+  message.operator_offset = operator_offset;
+  for (const auto& [ip, peer] : m_peers)
+  {
+    if (is_live(peer, now))
+    {
+      message.peers.push_back(peer.record);
+    }
+  }
+  std::shuffle(message.peers.begin(), message.peers.end(), m_random);
+  message.peers.resize(std::min(message.peers.size(), max_records_per_message - 1));
+  message.peers.push_back(m_self);
+  return message;
+}
+
+std::vector<std::string> peer_table::choose_targets(time_point now)
+{
+  std::vector<std::string> live;
+  std::vector<std::string> silent;
+  for (const auto& [ip, peer] : m_peers)
+  {
+    (is_live(peer, now) ? live : silent).push_back(ip);
+  }
+  std::shuffle(live.begin(), live.end(), m_random);
+  live.resize(std::min(live.size(), gossip_targets));
+  if (!silent.empty())
+  {
+    std::shuffle(silent.begin(), silent.end(), m_random);
+    // A process that knows nobody asks all it can, so that it serves soon after its start.
+    silent.resize(live.empty() ? std::min(silent.size(), gossip_targets) : 1);
+    live.insert(live.end(), silent.begin(), silent.end());
+  }
+  return live;
+}
+
+const peer_record& peer_table::self() const
+{
+  return m_self;
+}
+
+std::vector<peer_record> peer_table::live(peer_role role, time_point now) const
+{
+  std::vector<peer_record> out;
+  for (const auto& [ip, peer] : m_peers)
+  {
+    if (peer.record.role == role && is_live(peer, now) && !peer.record.leaving)
+    {
+      out.push_back(peer.record);
+    }
+  }
+  if (m_self.role == role && !m_self.leaving)
+  {
+    out.push_back(m_self);
+  }
+  std::sort(out.begin(), out.end(),
+            [](const peer_record& a, const peer_record& b) { return a.ip < b.ip; });
+  return out;
+}
+
+std::size_t peer_table::known() const
+{
+  return m_peers.size();
+}
+
+} // namespace pollenyoke::peers
--- /dev/null
+++ b/Source/Core/Peers/PeerTable.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "Peers/PeerMessages.h"
+
+namespace pollenyoke::peers
+{
+
+// Interval between two rounds in which a process tells a few others what it knows.
+constexpr std::chrono::milliseconds gossip_interval{500};
+// With 3 targets a round, news reaches 60 processes in about 4 rounds.
+constexpr std::size_t gossip_targets = 3;
+// Eight missed rounds: two rounds of spreading and six for losses.
+constexpr std::chrono::milliseconds silence_limit{4000};
+// A datagram stays below the usual 1,500 bytes of a packet with this many records of 25 bytes.
+constexpr std::size_t max_records_per_message = 48;
+
+/// The processes that this one knows and when it last had news of each. Not thread-safe.
+class peer_table
+{
+public:
+  using time_point = std::chrono::steady_clock::time_point;
+
+  peer_table(peer_record self, std::vector<std::string> seeds, std::uint64_t random_seed);
+
+  /// Counts a round of this process.
+  void beat();
+  void set_leaving();
+  void merge(const gossip_message& message, time_point now);
+  /// Adds a process that another source names; it counts as live only once it is heard of.
+  void add_candidate(const std::string& ip);
+  gossip_message make_message(std::uint64_t operator_offset, time_point now);
+  /// Hosts to send to in this round: live ones and one that may have come back.
+  std::vector<std::string> choose_targets(time_point now);
+
+  const peer_record& self() const;
+  /// Live processes that are not leaving, this one included, sorted by address.
+  std::vector<peer_record> live(peer_role role, time_point now) const;
+  std::size_t known() const;
+
+private:
+  struct entry
+  {
+    peer_record record;
+    time_point heard{};
+    bool ever_heard = false;
+  };
+
+  bool is_live(const entry& peer, time_point now) const;
+
+  peer_record m_self;
+  std::map<std::string, entry> m_peers;
+  std::mt19937_64 m_random;
+};
+
+} // namespace pollenyoke::peers
--- /dev/null
+++ b/Source/Core/Protocol/ServingModel.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Transport/Endpoint.h"
+
+namespace pollenyoke::protocol
+{
+
+/// What may be repeated after a request has reached a backend server.
+enum class repeat_rule
+{
+  /// May run more than once.
+  idempotent,
+  /// Runs at most once.
+  once,
+};
+
+struct route_target
+{
+  std::string service;
+  double weight = 1;
+};
+
+/// A rule of the operator that sends requests of one host name and path prefix to a service.
+struct route
+{
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  /// Requests of this route are answered with an event stream.
+  bool streaming = false;
+  repeat_rule repeat = repeat_rule::once;
+  std::chrono::milliseconds timeout{30000};
+  /// Latest first byte (streams: first event) for which the operator counts an answer as on time.
+  std::chrono::milliseconds objective{1000};
+  unsigned priority = 1;
+  std::vector<route_target> targets;
+  unsigned max_attempts = 1;
+  /// No key is needed.
+  bool open = false;
+};
+
+/// Speed of a model engine as its operator states it.
+struct engine_speed
+{
+  /// Time of one token step and what each writing request adds to it.
+  double step_ms = 10;
+  double step_ms_per_request = 0;
+  /// Token steps in one pass that has writing requests.
+  double steps_per_pass = 1;
+  double prompt_tokens_per_s = 20000;
+  /// Cost of attention: ms per million pairs of tokens.
+  double pairs_ms_per_million = 0;
+  /// Mean tokens of prompt and answer.
+  double usual_prompt = 1000;
+  double usual_answer = 100;
+  /// Shape of the weights.
+  unsigned layers = 1;
+  unsigned chunks = 0;
+  std::uint32_t chunk_bytes = 0;
+};
+
+struct service
+{
+  std::string name;
+  std::string health_path;
+  unsigned max_connections = 0;
+  /// Requests that one engine runs at the same time; 0 if the service is not a model engine.
+  unsigned slots = 0;
+  std::optional<engine_speed> engine;
+  /// Model whose weights the engines serve.
+  std::string model;
+  /// Set for the origin of weights.
+  std::optional<transport::endpoint> origin;
+  std::string origin_domain;
+};
+
+struct caller_limits
+{
+  std::uint32_t head_bytes = 16384;
+  std::uint64_t body_bytes = 4194304;
+  std::chrono::milliseconds head_timeout{3000};
+  std::chrono::milliseconds idle_timeout{15000};
+};
+
+struct team
+{
+  std::string name;
+  std::optional<unsigned> priority;
+};
+
+/// One version of the operator's configuration, whole.
+struct serving_config
+{
+  std::uint64_t version = 0;
+  std::vector<route> routes;
+  std::map<std::string, service> services;
+  caller_limits limits;
+  /// False if requests need no key.
+  bool has_teams = false;
+  std::map<std::string, team> teams_by_key;
+};
+
+/// What a backend server says of itself in the platform's store.
+struct backend_entry
+{
+  std::string id;
+  std::string service;
+  transport::endpoint address;
+  std::string failure_domain;
+  unsigned slots = 1;
+  bool draining = false;
+  /// Unix milliseconds of the server's start.
+  std::uint64_t started_ms = 0;
+  /// Version of the weights that it serves; 0 if it holds none or is not an engine.
+  std::uint64_t weight_version = 0;
+};
+
+/// Load and weights of an engine by its own report.
+struct engine_report
+{
+  unsigned waiting = 0;
+  unsigned running = 0;
+  std::uint64_t memory_used = 0;
+  std::uint64_t memory_total = 0;
+  /// An order is in progress.
+  bool busy = false;
+  /// Orders accepted since the engine's start.
+  std::uint64_t orders = 0;
+  std::uint64_t started_ms = 0;
+  std::string model;
+  std::uint64_t weight_version = 0;
+  /// All layers are held in `weight_version`.
+  bool whole = false;
+  /// Above 1 while the engine is slow.
+  double pace = 1;
+};
+
+/// The operator wants the engines of a model to serve this version of its weights.
+struct named_version
+{
+  std::string model;
+  std::uint64_t version = 0;
+};
+
+/// Pieces of one version of a model's weights.
+struct piece_manifest
+{
+  std::string model;
+  std::uint64_t version = 0;
+  std::uint32_t chunk_bytes = 0;
+  std::vector<std::string> digests;
+};
+
+/// Header fields of a request that the system reads or sets.
+struct request_labels
+{
+  std::string id;
+  std::optional<std::chrono::milliseconds> time_left;
+  std::string key;
+  /// Tokens of the prompt and the most that the answer may have.
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t answer_tokens = 0;
+};
+
+} // namespace pollenyoke::protocol
--- /dev/null
+++ b/Source/Core/Rollout/PieceFetcher.cpp
@@ -0,0 +1,184 @@
+#include "Rollout/PieceFetcher.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+#include "platform/Decode.h"
+#include "platform/EngineCalls.h"
+
+namespace pollenyoke::rollout
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Enough to keep the host's link busy while some peers still wait for their piece.
+constexpr unsigned max_in_flight = 6;
+// A piece takes 0.35 s over a link that is narrowed to 1.2 Mbit/s, and several share the link.
+constexpr milliseconds piece_timeout{2500};
+constexpr milliseconds manifest_timeout{800};
+constexpr milliseconds retry_pause{150};
+// Spoilt pieces from several sources point to a spoilt manifest.
+constexpr unsigned mismatches_per_manifest = 3;
+
+} // namespace
+
+async_io::http_call peer_piece_call(const transport::endpoint& peer, const std::string& model,
+                                    std::uint64_t version, std::uint32_t piece)
+{
+  async_io::http_call call;
+  call.address = peer;
+  call.target = "/piece?model=" + async_io::percent_encode(model) +
+                "&version=" + std::to_string(version) + "&number=" + std::to_string(piece);
+  return call;
+}
+
+piece_fetcher::piece_fetcher(fetch_environment environment, std::string model,
+                             std::uint64_t version, std::function<void(std::uint32_t)> on_piece)
+    : m_environment(std::move(environment)), m_model(std::move(model)), m_version(version),
+      m_on_piece(std::move(on_piece)), m_manifest_timer(m_environment.loop)
+{
+}
+
+void piece_fetcher::start()
+{
+  ask_manifest();
+}
+
+void piece_fetcher::stop()
+{
+  m_stopped = true;
+  m_waiting.clear();
+  m_manifest_timer.cancel();
+  m_retry_timers.clear();
+}
+
+const piece_set* piece_fetcher::pieces() const
+{
+  return m_pieces.get();
+}
+
+std::uint64_t piece_fetcher::version() const
+{
+  return m_version;
+}
+
+void piece_fetcher::ask_manifest()
+{
+  if (m_stopped || m_asking_manifest)
+  {
+    return;
+  }
+  m_asking_manifest = true;
+  auto call = platform::manifest_call(m_environment.origin(), m_model, m_version);
+  call.timeout = manifest_timeout;
+  m_environment.caller.call(std::move(call),
+                            [self = shared_from_this()](const result<async_io::http_response>& in)
+                            { self->take_manifest(in); });
+}
+
+void piece_fetcher::take_manifest(const result<async_io::http_response>& answer)
+{
+  m_asking_manifest = false;
+  if (m_stopped)
+  {
+    return;
+  }
+  if (answer && answer->head.status == 200)
+  {
+    const auto manifest = platform::decode_manifest(answer->body);
+    auto pieces =
+        manifest ? piece_set::make(*manifest) : result<piece_set>(tl::unexpected(manifest.error()));
+    if (pieces && pieces->version() == m_version && pieces->size() > 0)
+    {
+      const bool first = m_pieces == nullptr;
+      if (first)
+      {
+        m_pieces = std::make_unique<piece_set>(std::move(*pieces));
+        const auto order = fetch_order(m_environment.hosts(), m_environment.self, m_pieces->size());
+        m_waiting.assign(order.begin(), order.end());
+      }
+      else
+      {
+        m_pieces->replace_digests(*pieces);
+      }
+      fill();
+      return;
+    }
+  }
+  log_warning(log_category::weights, "no usable manifest",
+              {{"model", m_model},
+               {"version", m_version},
+               {"reason", answer ? "status " + std::to_string(answer->head.status)
+                                 : answer.error().message}});
+  m_manifest_timer.start(retry_pause, [self = shared_from_this()] { self->ask_manifest(); });
+}
+
+void piece_fetcher::fill()
+{
+  while (!m_stopped && m_in_flight < max_in_flight && !m_waiting.empty())
+  {
+    const std::uint32_t piece = m_waiting.front();
+    m_waiting.pop_front();
+    fetch(piece, 0);
+  }
+}
+
+void piece_fetcher::fetch(std::uint32_t piece, unsigned attempt)
+{
+  if (m_stopped || m_pieces->get(piece) != nullptr)
+  {
+    return;
+  }
+  const piece_source source =
+      choose_source(m_environment.hosts(), m_environment.self, piece, attempt);
+  auto call =
+      source.origin
+          ? platform::piece_call(m_environment.origin(), m_model, m_version, piece)
+          : peer_piece_call({source.ip, m_environment.peer_port}, m_model, m_version, piece);
+  call.timeout = piece_timeout;
+  ++m_in_flight;
+  m_environment.caller.call(std::move(call),
+                            [self = shared_from_this(), piece, attempt,
+                             origin = source.origin](const result<async_io::http_response>& answer)
+                            { self->take_piece(piece, attempt, origin, answer); });
+}
+
+void piece_fetcher::take_piece(std::uint32_t piece, unsigned attempt, bool from_origin,
+                               const result<async_io::http_response>& answer)
+{
+  --m_in_flight;
+  if (m_stopped)
+  {
+    return;
+  }
+  if (answer && answer->head.status == 200)
+  {
+    if (m_pieces->put(piece, answer->body))
+    {
+      m_on_piece(piece);
+      fill();
+      return;
+    }
+    log_warning(log_category::weights, "piece does not match its digest",
+                {{"version", m_version}, {"piece", piece}, {"origin", from_origin}});
+    ++m_mismatches;
+    if (m_mismatches % mismatches_per_manifest == 0)
+    {
+      ask_manifest();
+    }
+  }
+  retry_later(piece, attempt + 1);
+  fill();
+}
+
+void piece_fetcher::retry_later(std::uint32_t piece, unsigned attempt)
+{
+  m_retry_timers.push_back(std::make_unique<async_io::timer>(m_environment.loop));
+  m_retry_timers.back()->start(retry_pause, [self = shared_from_this(), piece, attempt]
+                               { self->fetch(piece, attempt); });
+}
+
+} // namespace pollenyoke::rollout
--- /dev/null
+++ b/Source/Core/Rollout/PieceFetcher.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "AsyncIo/HttpCaller.h"
+#include "Rollout/PiecePlan.h"
+#include "Rollout/PieceSet.h"
+
+namespace pollenyoke::rollout
+{
+
+/// Calls and facts that a fetch depends on.
+struct fetch_environment
+{
+  async_io::event_loop& loop;
+  async_io::http_caller& caller;
+  std::string self;
+  std::uint16_t peer_port = 0;
+  std::function<std::vector<plan_host>()> hosts;
+  std::function<transport::endpoint()> origin;
+};
+
+/// The call with which a host asks another one for a piece.
+async_io::http_call peer_piece_call(const transport::endpoint& peer, const std::string& model,
+                                    std::uint64_t version, std::uint32_t piece);
+
+/// Fetches one version of a model: its manifest, then its pieces.
+class piece_fetcher : public std::enable_shared_from_this<piece_fetcher>
+{
+public:
+  /// `on_piece` is called for each piece that was checked and kept.
+  piece_fetcher(fetch_environment environment, std::string model, std::uint64_t version,
+                std::function<void(std::uint32_t)> on_piece);
+
+  void start();
+  void stop();
+  /// Null until the manifest is known.
+  const piece_set* pieces() const;
+  std::uint64_t version() const;
+
+private:
+  void ask_manifest();
+  void take_manifest(const result<async_io::http_response>& answer);
+  void fill();
+  void fetch(std::uint32_t piece, unsigned attempt);
+  void take_piece(std::uint32_t piece, unsigned attempt, bool from_origin,
+                  const result<async_io::http_response>& answer);
+  void retry_later(std::uint32_t piece, unsigned attempt);
+
+  fetch_environment m_environment;
+  std::string m_model;
+  std::uint64_t m_version;
+  std::function<void(std::uint32_t)> m_on_piece;
+  std::unique_ptr<piece_set> m_pieces;
+  std::deque<std::uint32_t> m_waiting;
+  std::vector<std::unique_ptr<async_io::timer>> m_retry_timers;
+  async_io::timer m_manifest_timer;
+  unsigned m_in_flight = 0;
+  unsigned m_mismatches = 0;
+  bool m_asking_manifest = false;
+  bool m_stopped = false;
+};
+
+} // namespace pollenyoke::rollout
--- /dev/null
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -0,0 +1,366 @@
+#include "Rollout/RolloutAgent.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+#include "platform/Decode.h"
+#include "platform/EngineCalls.h"
+
+namespace pollenyoke::rollout
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// The engine's report costs nothing on its own host; entries choose by it.
+constexpr milliseconds poll_interval{100};
+constexpr milliseconds poll_timeout{500};
+// A peer asks another source when the piece has not arrived here in this time.
+constexpr milliseconds peer_wait{1200};
+constexpr std::size_t max_waiting_peers = 2048;
+// An engine that is idle this long after it accepted an order will not carry it out.
+constexpr milliseconds order_lifetime{2000};
+// Pieces of the serving version and of the next one stay, for hosts that come later.
+constexpr std::size_t kept_versions = 2;
+
+milliseconds since(async_io::time_point time)
+{
+  return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - time);
+}
+
+} // namespace
+
+rollout_agent::rollout_agent(fetch_environment environment, transport::endpoint engine,
+                             rollout_handlers handlers)
+    : m_environment(std::move(environment)), m_engine(std::move(engine)),
+      m_handlers(std::move(handlers)), m_poll_timer(m_environment.loop)
+{
+}
+
+void rollout_agent::start()
+{
+  poll_engine();
+}
+
+void rollout_agent::set_model(const std::string& model, std::uint32_t pieces)
+{
+  m_model = model;
+  m_piece_count = pieces;
+}
+
+void rollout_agent::name_version(const protocol::named_version& version)
+{
+  if (!m_named.try_emplace(version.version, std::chrono::steady_clock::now()).second)
+  {
+    return;
+  }
+  log_info(log_category::weights, "version named",
+           {{"model", version.model}, {"version", version.version}});
+  fetch_if_needed();
+}
+
+std::uint64_t rollout_agent::wanted_version() const
+{
+  // Versions start at 1, which is in force until another one is named.
+  return m_named.empty() ? 1 : m_named.rbegin()->first;
+}
+
+void rollout_agent::poll_engine()
+{
+  auto call = platform::report_call(m_engine);
+  call.timeout = poll_timeout;
+  m_environment.caller.call(std::move(call), [this](const result<async_io::http_response>& answer)
+                            { take_report(answer); });
+}
+
+void rollout_agent::take_report(const result<async_io::http_response>& answer)
+{
+  m_poll_timer.start(poll_interval, [this] { poll_engine(); });
+  if (!answer || answer->head.status != 200)
+  {
+    if (++m_failed_polls == 5)
+    {
+      log_warning(log_category::weights, "engine does not report",
+                  {{"reason", answer ? "status " + std::to_string(answer->head.status)
+                                     : answer.error().message}});
+    }
+    return;
+  }
+  auto report = platform::decode_engine_report(answer->body);
+  if (!report)
+  {
+    log_warning(log_category::weights, "report cannot be read",
+                {{"reason", report.error().message}});
+    return;
+  }
+  m_failed_polls = 0;
+  const bool reborn = m_report && m_report->started_ms != report->started_ms;
+  if (reborn)
+  {
+    log_info(log_category::weights, "engine has started again",
+             {{"weights", report->weight_version}});
+    m_ordered_since.reset();
+    m_order_unknown_since.reset();
+    m_loading_version = 0;
+  }
+  m_report = std::move(*report);
+  if (m_ordered_since && !m_report->busy && m_report->weight_version < m_loading_version &&
+      since(*m_ordered_since) > order_lifetime)
+  {
+    m_ordered_since.reset();
+    load_failed("engine accepted the order and does not load");
+  }
+  if (m_ordered_since && !m_report->busy && m_report->weight_version >= m_loading_version)
+  {
+    log_info(
+        log_category::weights, "engine serves version",
+        {{"version", m_report->weight_version},
+         {"after_ms",
+          m_named.contains(m_loading_version) ? since(m_named.at(m_loading_version)).count() : 0}});
+    m_ordered_since.reset();
+    m_loading_version = 0;
+  }
+  m_handlers.on_report(*m_report, m_loading_version != 0 || m_report->busy);
+  fetch_if_needed();
+  consider_load();
+}
+
+void rollout_agent::fetch_if_needed()
+{
+  const std::uint64_t version = wanted_version();
+  if (!m_report || m_model.empty() || m_piece_count == 0 || m_fetchers.contains(version) ||
+      (m_report->whole && m_report->weight_version >= version) || m_environment.origin().port == 0)
+  {
+    return;
+  }
+  const auto fetcher = std::make_shared<piece_fetcher>(m_environment, m_model, version,
+                                                       [this, version](std::uint32_t piece)
+                                                       { piece_arrived(version, piece); });
+  m_fetchers[version] = fetcher;
+  drop_old_versions();
+  fetcher->start();
+}
+
+void rollout_agent::drop_old_versions()
+{
+  while (m_fetchers.size() > kept_versions)
+  {
+    const auto oldest = m_fetchers.begin();
+    oldest->second->stop();
+    for (const waiting_peer& peer : m_waiting_peers[oldest->first])
+    {
+      peer.respond({.status = 404});
+    }
+    m_waiting_peers.erase(oldest->first);
+    m_fetchers.erase(oldest);
+  }
+}
+
+void rollout_agent::piece_arrived(std::uint64_t version, std::uint32_t piece)
+{
+  const piece_set* pieces = m_fetchers.at(version)->pieces();
+  auto& waiting = m_waiting_peers[version];
+  std::vector<waiting_peer> served;
+  std::erase_if(waiting,
+                [&](const waiting_peer& peer)
+                {
+                  if (peer.piece != piece)
+                  {
+                    return false;
+                  }
+                  served.push_back(peer);
+                  return true;
+                });
+  for (const waiting_peer& peer : served)
+  {
+    peer.respond({200, "application/octet-stream", *pieces->get(piece)});
+  }
+  if (pieces->is_complete())
+  {
+    log_info(log_category::weights, "all pieces held",
+             {{"version", version},
+              {"after_ms", m_named.contains(version) ? since(m_named.at(version)).count() : 0}});
+    consider_load();
+  }
+}
+
+void rollout_agent::serve_piece(const async_io::message_head& head,
+                                const async_io::http_listener::responder& respond)
+{
+  std::uint64_t version = 0;
+  std::uint64_t number = 0;
+  if (!async_io::parse_number(async_io::query_parameter(head.target, "version"), version) ||
+      !async_io::parse_number(async_io::query_parameter(head.target, "number"), number))
+  {
+    respond({.status = 400});
+    return;
+  }
+  const auto piece = static_cast<std::uint32_t>(number);
+  const auto fetcher = m_fetchers.find(version);
+  const piece_set* pieces = fetcher == m_fetchers.end() ? nullptr : fetcher->second->pieces();
+  if (const std::string* bytes = pieces == nullptr ? nullptr : pieces->get(piece))
+  {
+    respond({200, "application/octet-stream", *bytes});
+    return;
+  }
+  auto& waiting = m_waiting_peers[version];
+  const bool may_come = fetcher != m_fetchers.end() || version > wanted_version();
+  if (!may_come || waiting.size() >= max_waiting_peers)
+  {
+    respond({.status = 404});
+    return;
+  }
+  waiting.push_back({piece, respond, std::chrono::steady_clock::now() + peer_wait});
+}
+
+const piece_set* rollout_agent::ready_pieces() const
+{
+  for (auto at = m_fetchers.rbegin(); at != m_fetchers.rend(); ++at)
+  {
+    const piece_set* pieces = at->second->pieces();
+    if (pieces != nullptr && pieces->is_complete())
+    {
+      return pieces;
+    }
+  }
+  return nullptr;
+}
+
+void rollout_agent::consider_load()
+{
+  const auto now = std::chrono::steady_clock::now();
+  for (auto& [version, waiting] : m_waiting_peers)
+  {
+    std::erase_if(waiting,
+                  [now](const waiting_peer& peer)
+                  {
+                    if (now < peer.expires)
+                    {
+                      return false;
+                    }
+                    peer.respond({.status = 404});
+                    return true;
+                  });
+  }
+  const piece_set* pieces = ready_pieces();
+  if (!m_report || pieces == nullptr || m_loading_version != 0)
+  {
+    return;
+  }
+  load_facts facts;
+  facts.report = *m_report;
+  facts.ready_version = pieces->version();
+  const auto named = m_named.find(pieces->version());
+  facts.known_for = named == m_named.end() ? milliseconds(3'600'000) : since(named->second);
+  const auto hosts = m_environment.hosts();
+  facts.position = static_cast<std::size_t>(
+      std::find_if(hosts.begin(), hosts.end(),
+                   [this](const plan_host& host) { return host.ip == m_environment.self; }) -
+      hosts.begin());
+  if (m_order_unknown_since)
+  {
+    facts.order_unknown_for = since(*m_order_unknown_since);
+  }
+  if (decide_load(facts) == load_action::load)
+  {
+    m_order_unknown_since.reset();
+    m_loading_version = pieces->version();
+    m_handlers.on_report(*m_report, true);
+    stage(0);
+  }
+}
+
+void rollout_agent::stage(std::uint32_t piece)
+{
+  const auto fetcher = m_fetchers.find(m_loading_version);
+  const piece_set* pieces = fetcher == m_fetchers.end() ? nullptr : fetcher->second->pieces();
+  if (pieces == nullptr || !pieces->is_complete())
+  {
+    load_failed("pieces are no longer held");
+    return;
+  }
+  if (piece == pieces->size())
+  {
+    check_staged(0);
+    return;
+  }
+  m_environment.caller.call(platform::stage_put_call(m_engine, m_model, piece, *pieces->get(piece)),
+                            [this, piece](const result<async_io::http_response>& answer)
+                            {
+                              if (!answer || answer->head.status / 100 != 2)
+                              {
+                                load_failed(answer ? "staging answered " +
+                                                         std::to_string(answer->head.status)
+                                                   : answer.error().message);
+                                return;
+                              }
+                              stage(piece + 1);
+                            });
+}
+
+/// Staged pieces may turn bad, so each is read back right before the order.
+void rollout_agent::check_staged(std::uint32_t piece)
+{
+  const auto fetcher = m_fetchers.find(m_loading_version);
+  const piece_set* pieces = fetcher == m_fetchers.end() ? nullptr : fetcher->second->pieces();
+  if (pieces == nullptr)
+  {
+    load_failed("pieces are no longer held");
+    return;
+  }
+  if (piece == pieces->size())
+  {
+    order();
+    return;
+  }
+  m_environment.caller.call(
+      platform::stage_get_call(m_engine, m_model, piece),
+      [this, piece](const result<async_io::http_response>& answer)
+      {
+        const auto held = m_fetchers.find(m_loading_version);
+        if (!answer || answer->head.status != 200 || held == m_fetchers.end() ||
+            !held->second->pieces()->matches(piece, answer->body))
+        {
+          log_warning(log_category::weights, "staged piece is not what was staged",
+                      {{"version", m_loading_version}, {"piece", piece}});
+          load_failed("staged piece is spoilt");
+          return;
+        }
+        check_staged(piece + 1);
+      });
+}
+
+void rollout_agent::order()
+{
+  m_environment.caller.call(
+      platform::start_call(m_engine, m_model, m_loading_version, m_report->orders),
+      [this](const result<async_io::http_response>& answer)
+      {
+        if (!answer && answer.error().code != error_code::unavailable)
+        {
+          m_order_unknown_since = std::chrono::steady_clock::now();
+          load_failed("answer to the order was lost: " + answer.error().message);
+          return;
+        }
+        if (!answer || answer->head.status / 100 != 2)
+        {
+          load_failed(answer ? "order answered " + std::to_string(answer->head.status)
+                             : answer.error().message);
+          return;
+        }
+        log_info(log_category::weights, "order accepted",
+                 {{"version", m_loading_version}, {"status", answer->head.status}});
+        m_ordered_since = std::chrono::steady_clock::now();
+      });
+}
+
+void rollout_agent::load_failed(const std::string& reason)
+{
+  log_warning(log_category::weights, "load not ordered",
+              {{"version", m_loading_version}, {"reason", reason}});
+  m_loading_version = 0;
+}
+
+} // namespace pollenyoke::rollout
--- /dev/null
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "AsyncIo/HttpCaller.h"
+#include "AsyncIo/HttpListener.h"
+#include "Protocol/ServingModel.h"
+#include "Rollout/LoadRule.h"
+#include "Rollout/PieceFetcher.h"
+
+namespace pollenyoke::rollout
+{
+
+struct rollout_handlers
+{
+  /// Called for each report of the engine; `loading` from just before an order until the engine
+  /// serves again.
+  std::function<void(const protocol::engine_report&, bool loading)> on_report;
+};
+
+/// Brings the engine of this host to the newest named version of its weights and hands pieces to
+/// other hosts.
+class rollout_agent
+{
+public:
+  rollout_agent(fetch_environment environment, transport::endpoint engine,
+                rollout_handlers handlers);
+
+  void start();
+  void set_model(const std::string& model, std::uint32_t pieces);
+  void name_version(const protocol::named_version& version);
+  /// Answers a request of a peer for a piece, at once or when the piece arrives.
+  void serve_piece(const async_io::message_head& head,
+                   const async_io::http_listener::responder& respond);
+
+private:
+  struct waiting_peer
+  {
+    std::uint32_t piece = 0;
+    async_io::http_listener::responder respond;
+    async_io::time_point expires;
+  };
+
+  std::uint64_t wanted_version() const;
+  void poll_engine();
+  void take_report(const result<async_io::http_response>& answer);
+  void fetch_if_needed();
+  void piece_arrived(std::uint64_t version, std::uint32_t piece);
+  void drop_old_versions();
+  void consider_load();
+  const piece_set* ready_pieces() const;
+  void stage(std::uint32_t piece);
+  void check_staged(std::uint32_t piece);
+  void order();
+  void load_failed(const std::string& reason);
+
+  fetch_environment m_environment;
+  transport::endpoint m_engine;
+  rollout_handlers m_handlers;
+  async_io::timer m_poll_timer;
+  std::string m_model;
+  std::uint32_t m_piece_count = 0;
+  /// Named versions and when this host heard of them.
+  std::map<std::uint64_t, async_io::time_point> m_named;
+  std::map<std::uint64_t, std::shared_ptr<piece_fetcher>> m_fetchers;
+  std::map<std::uint64_t, std::vector<waiting_peer>> m_waiting_peers;
+  std::optional<protocol::engine_report> m_report;
+  /// Version that is being staged and ordered.
+  std::uint64_t m_loading_version = 0;
+  /// When the engine accepted an order for that version.
+  std::optional<async_io::time_point> m_ordered_since;
+  std::optional<async_io::time_point> m_order_unknown_since;
+  unsigned m_failed_polls = 0;
+};
+
+} // namespace pollenyoke::rollout
--- /dev/null
+++ b/Source/Core/StateFeed/PeerSnapshot.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "Common/Result.h"
+#include "StateFeed/Records.h"
+
+namespace pollenyoke::state_feed
+{
+
+/// What one process tells another that cannot read the store.
+struct peer_snapshot
+{
+  bool has_operator_records = false;
+  record_page operator_records;
+  bool has_backends = false;
+  record_page backends;
+  /// Milliseconds since the sender's backend records were confirmed.
+  std::uint64_t backend_age_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(has_operator_records, operator_records, has_backends, backends, backend_age_ms);
+  }
+};
+
+std::string encode_snapshot(const peer_snapshot& snapshot);
+result<peer_snapshot> decode_snapshot(std::string_view data);
+
+} // namespace pollenyoke::state_feed
--- /dev/null
+++ b/Source/Core/StateFeed/TopicState.cpp
@@ -0,0 +1,100 @@
+#include "StateFeed/TopicState.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pollenyoke::state_feed
+{
+
+topic_state::topic_state(change_handler on_change) : m_on_change(std::move(on_change)) {}
+
+void topic_state::apply(const record& change)
+{
+  const auto known = m_records.find(change.key);
+  if (known != m_records.end() && change.offset <= known->second.offset)
+  {
+    return;
+  }
+  if (change.value)
+  {
+    m_records[change.key] = change;
+  }
+  else if (known != m_records.end())
+  {
+    m_records.erase(known);
+  }
+  m_on_change(change);
+}
+
+void topic_state::apply_changes(const record_page& page, time_point now)
+{
+  for (const record& change : page.records)
+  {
+    if (change.offset >= m_next)
+    {
+      apply(change);
+    }
+  }
+  m_next = std::max(m_next, page.next);
+  m_confirmed = std::max(m_confirmed, now);
+}
+
+void topic_state::apply_newest(const record_page& page, time_point now)
+{
+  if (m_known && page.end < m_next)
+  {
+    // The answer is older than what this process has applied.
+    return;
+  }
+  std::set<std::string> present;
+  for (const record& newest : page.records)
+  {
+    present.insert(newest.key);
+    apply(newest);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [key, value] : m_records)
+  {
+    if (!present.contains(key) && value.offset < page.end)
+    {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone)
+  {
+    m_records.erase(key);
+    m_on_change({key, std::nullopt, page.end});
+  }
+  m_next = std::max(m_next, page.next);
+  m_known = true;
+  m_confirmed = std::max(m_confirmed, now);
+}
+
+bool topic_state::is_known() const
+{
+  return m_known;
+}
+
+std::uint64_t topic_state::next_offset() const
+{
+  return m_next;
+}
+
+topic_state::time_point topic_state::confirmed() const
+{
+  return m_confirmed;
+}
+
+record_page topic_state::newest() const
+{
+  record_page page;
+  page.end = m_next;
+  page.next = m_next;
+  for (const auto& [key, value] : m_records)
+  {
+    page.records.push_back(value);
+  }
+  return page;
+}
+
+} // namespace pollenyoke::state_feed
--- a/Tools/lint.sh
+++ b/Tools/lint.sh
@@ -7,13 +7,13 @@
 cache="${XDG_CACHE_HOME:-$HOME/.cache}/pollenyoke-tidy"
 mkdir -p "$cache"
 
-if [ $# -gt 0 ]; then files=("$@"); else mapfile -t files < <(git ls-files -co --exclude-standard 'Source/*.cpp'); fi
-mapfile -t formatted < <(git ls-files -co --exclude-standard 'Source/*.cpp' 'Source/*.h')
+if [ $# -gt 0 ]; then files=("$@"); else mapfile -t files < <(git ls-files -co --exclude-standard 'Source/*.cpp' 'platform/*.cpp'); fi
+mapfile -t formatted < <(git ls-files -co --exclude-standard 'Source/*.cpp' 'Source/*.h' 'platform/*.cpp' 'platform/*.h')
 clang-format --dry-run --Werror "${formatted[@]}"
 
 tidy_one() {
   local file=$1 cache=$2 key
-  key=$( { cat .clang-tidy "$file"; g++ -std=c++20 -ISource -ISource/Core -E -P "$file" 2>/dev/null; } | sha256sum | cut -d' ' -f1)
+  key=$( { cat .clang-tidy "$file"; g++ -std=c++20 -I. -ISource -ISource/Core -E -P "$file" 2>/dev/null; } | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$key" ] && return 0
   local output
   if output=$(clang-tidy --quiet -p build/release "$file" 2>&1); then
