Gateway: choose by the unread prompts of each engine, spread by shares, refuse by the wait

Entries tell the agent of each send, the agent reckons the unread tokens and reports them; requests spread in shares that level the waits (fill_shares); a late request is judged by its wait for others. Engines load in three groups 0.9 s apart; long answers avoid engines that load soon.

--- a/Source/Core/Gateway/AdmissionRule.h
+++ b/Source/Core/Gateway/AdmissionRule.h
@@ -10,6 +10,8 @@
 {
   /// Expected time to the first byte at the chosen server; empty if no server can be used.
   std::optional<double> first_byte_ms;
+  /// Part of it that the request waits for others.
+  double wait_ms = 0;
   std::chrono::milliseconds objective{};
   /// What is left of the caller's time and of the route's limit.
   std::chrono::milliseconds time_left{};
--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -17,9 +17,17 @@
 constexpr milliseconds load_lifetime{700};
 // A request needs this long to reach the engine and to show in a report.
 constexpr milliseconds report_delay{60};
-// Requests spread over servers whose estimates differ by less than this: about the error of an
-// estimate, one pass of an engine.
-constexpr double spread_ms = 40;
+// Until reports show them, requests of all entries meet servers that look free: the interval of the
+// reports, their way and the requests' way.
+constexpr double blind_time_s = 0.18;
+// Passes until the first event of a prompt that is read at once.
+constexpr double first_event_passes = 1.5;
+// An engine that is about to load ends its running work first and takes nothing new meanwhile. A
+// request that would end later than the planned time costs the engine that much, in part, as the
+// other requests run on for a while too.
+constexpr double load_pause_weight = 0.3;
+// Mean time over which the rate of arrivals is measured.
+constexpr double rate_window_s = 1;
 // Two failures in a row, or a third of the recent attempts, put a server aside. A service whose
 // requests fail now and then by themselves stays below the share.
 constexpr unsigned consecutive_limit = 2;
@@ -35,10 +43,73 @@
 // A server without an estimate of its own: time of one request, for the order only.
 constexpr double plain_request_ms = 20;
 
+// Attention pairs grow with the square of one prompt's length, not of several prompts' together.
+constexpr double longest_prompt = 4000;
+// Part of its time in which an engine reads while it also writes answers.
+constexpr double reading_share = 0.67;
+
+/// Time in which an engine reads a prompt.
+double read_ms(const protocol::engine_speed& speed, double tokens)
+{
+  const double pairs = tokens * std::min(tokens, longest_prompt) / 2e6;
+  return tokens / speed.prompt_tokens_per_s * 1000 + pairs * speed.pairs_ms_per_million;
+}
+
 } // namespace
 
+std::vector<double> fill_shares(std::span<const double> estimates, double requests,
+                                double added_wait_ms)
+{
+  std::vector<double> sorted(estimates.begin(), estimates.end());
+  std::sort(sorted.begin(), sorted.end());
+  double level = 0;
+  double sum = 0;
+  for (std::size_t used = 1; used <= sorted.size(); ++used)
+  {
+    sum += sorted[used - 1];
+    level = (requests * added_wait_ms + sum) / static_cast<double>(used);
+    if (used == sorted.size() || level <= sorted[used])
+    {
+      break;
+    }
+  }
+  std::vector<double> shares;
+  for (const double estimate : estimates)
+  {
+    shares.push_back(std::max(0.0, level - estimate));
+  }
+  return shares;
+}
+
+void arrival_rate::add(time_point now)
+{
+  m_level = per_second(now) + 1 / rate_window_s;
+  m_updated = now;
+}
+
+double arrival_rate::per_second(time_point now) const
+{
+  const double passed = std::chrono::duration<double>(now - m_updated).count();
+  return m_level * std::exp(-passed / rate_window_s);
+}
+
 backend_table::backend_table(std::uint64_t random_seed) : m_random(random_seed) {}
 
+void backend_table::add_request(const std::string& service, std::size_t entries, time_point now)
+{
+  m_entries = std::max<std::size_t>(entries, 1);
+  m_arrivals[service].add(now);
+}
+
+double backend_table::added_wait_ms(const protocol::service* service)
+{
+  if (service == nullptr || !service->engine)
+  {
+    return plain_request_ms;
+  }
+  return read_ms(*service->engine, service->engine->usual_prompt);
+}
+
 void backend_table::set_services(const std::map<std::string, protocol::service>& services)
 {
   m_services = services;
@@ -135,15 +206,16 @@
   return version != 0 && version >= request.minimum_version;
 }
 
-double backend_table::expected_first_byte_ms(const server& backend, const choice_request& request,
-                                             const protocol::service* service, time_point now) const
+backend_table::estimate backend_table::expect(const server& backend, const choice_request& request,
+                                              const protocol::service* service, time_point now)
 {
   const double slots = std::max(1U, backend.entry.slots);
   const double own = backend.in_flight;
   if (service == nullptr || !service->engine)
   {
     const double distance = backend.entry.failure_domain == request.own_domain ? 0 : 1;
-    return plain_request_ms * own / slots + distance;
+    const double wait = plain_request_ms * own / slots;
+    return {.first_byte_ms = wait + distance, .wait_ms = wait, .rank_ms = wait + distance};
   }
   const protocol::engine_speed& speed = *service->engine;
   const bool fresh = backend.load && now - backend.load_received < load_lifetime;
@@ -153,19 +225,24 @@
   const double pace = fresh ? std::max(1.0, static_cast<double>(backend.load->pace)) : 1;
   const double occupied = std::max(reported + unreported, own);
   const double writing = std::min(occupied, slots);
-  const double pass_ms =
-      speed.steps_per_pass * (speed.step_ms + speed.step_ms_per_request * writing);
-  const auto read_ms = [&speed](double tokens)
+  const double token_ms = speed.step_ms + speed.step_ms_per_request * writing;
+  const double pass_ms = speed.steps_per_pass * token_ms;
+  const double unread = unreported * speed.usual_prompt + (fresh ? backend.load->unread_tokens : 0);
+  const double usual_time = speed.usual_answer * token_ms + read_ms(speed, speed.usual_prompt);
+  const double wait = pace * (read_ms(speed, unread) / reading_share +
+                              std::max(0.0, occupied + 1 - slots) / slots * usual_time);
+  const double first_byte =
+      pace * (pass_ms * first_event_passes + read_ms(speed, request.prompt_tokens)) + wait;
+  double rank = first_byte;
+  if (fresh && backend.load->load_in_ms > 0)
   {
-    const double pairs = tokens * tokens / 2e6;
-    return tokens / speed.prompt_tokens_per_s * 1000 + pairs * speed.pairs_ms_per_million;
-  };
-  const double unread = (fresh ? backend.load->waiting : 0) + unreported;
-  const double wait_for_slot = std::max(0.0, occupied + 1 - slots) / slots *
-                               (speed.usual_answer / std::max(1.0, speed.steps_per_pass) * pass_ms +
-                                read_ms(speed.usual_prompt));
-  return pace * (pass_ms * 1.5 + read_ms(request.prompt_tokens) +
-                 unread * read_ms(speed.usual_prompt) + wait_for_slot);
+    const double until_load =
+        backend.load->load_in_ms -
+        std::chrono::duration<double, std::milli>(now - backend.load_received).count();
+    const double ends = first_byte + request.answer_tokens * token_ms;
+    rank += load_pause_weight * std::max(0.0, ends - until_load);
+  }
+  return {.first_byte_ms = first_byte, .wait_ms = wait, .rank_ms = rank};
 }
 
 std::optional<backend_choice> backend_table::choose(const choice_request& request, time_point now)
@@ -173,27 +250,28 @@
   const auto service = m_services.find(request.service);
   const protocol::service* known = service == m_services.end() ? nullptr : &service->second;
   std::vector<backend_choice> usable;
-  double best = 0;
+  std::vector<double> ranks;
   for (const auto& [id, backend] : m_servers)
   {
-    if (!is_usable(backend, request, now))
+    if (is_usable(backend, request, now))
     {
-      continue;
+      const estimate expected = expect(backend, request, known, now);
+      usable.push_back({id, backend.entry.address, expected.first_byte_ms, expected.wait_ms,
+                        known_version(backend)});
+      ranks.push_back(expected.rank_ms);
     }
-    const double estimate = expected_first_byte_ms(backend, request, known, now);
-    best = usable.empty() ? estimate : std::min(best, estimate);
-    usable.push_back({id, backend.entry.address, estimate, known_version(backend)});
   }
   if (usable.empty())
   {
     return std::nullopt;
   }
-  std::vector<double> weights;
-  for (const backend_choice& choice : usable)
-  {
-    weights.push_back(std::exp((best - choice.first_byte_ms) / spread_ms));
-  }
-  std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+  const auto arrivals = m_arrivals.find(request.service);
+  const double unseen =
+      arrivals == m_arrivals.end()
+          ? 0
+          : arrivals->second.per_second(now) * static_cast<double>(m_entries) * blind_time_s;
+  const auto shares = fill_shares(ranks, std::max(1.0, unseen), added_wait_ms(known));
+  std::discrete_distribution<std::size_t> draw(shares.begin(), shares.end());
   return usable[draw(m_random)];
 }
 
--- a/Source/Core/Gateway/BackendTable.h
+++ b/Source/Core/Gateway/BackendTable.h
@@ -7,7 +7,9 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
+#include <vector>
 
 #include "Peers/PeerMessages.h"
 #include "Protocol/ServingModel.h"
@@ -43,12 +45,27 @@
   std::set<std::string> excluded;
 };
 
+/// Requests per second to one service, as a moving mean.
+class arrival_rate
+{
+public:
+  void add(time_point now);
+  double per_second(time_point now) const;
+
+private:
+  double m_level = 0;
+  time_point m_updated{};
+};
+
 struct backend_choice
 {
   std::string id;
   transport::endpoint address;
   /// Expected time to the first byte, or the first event, in milliseconds.
   double first_byte_ms = 0;
+  /// Part of it that the request waits for others.
+  double wait_ms = 0;
+
   /// Version of the server's weights, as far as known; 0 if unknown.
   std::uint64_t weight_version = 0;
 };
@@ -61,6 +78,13 @@
   std::size_t usable = 0;
 };
 
+/// Shares in which requests spread over servers with these expected waits, so that all that get
+/// some end up with the same wait. Load pattern: many entries that choose by the same reports;
+/// choosing the best server sends them all to the same one, most of all one that has just loaded
+/// weights.
+std::vector<double> fill_shares(std::span<const double> estimates, double requests,
+                                double added_wait_ms);
+
 /// The backend servers with their load, as this process knows it, and the choice among them. Time
 /// is passed in. Not thread-safe.
 class backend_table
@@ -68,6 +92,9 @@
 public:
   explicit backend_table(std::uint64_t random_seed);
 
+  /// Counts a request for a service. `entries`: entries that send to the same servers.
+  void add_request(const std::string& service, std::size_t entries, time_point now);
+
   void set_services(const std::map<std::string, protocol::service>& services);
   void put(const protocol::backend_entry& entry, time_point now);
   /// `lapse_until`: the record may only have lapsed; the server stays in use until then.
@@ -104,13 +131,25 @@
   static std::uint64_t known_version(const server& backend);
   bool is_usable(const server& backend, const choice_request& request, time_point now) const;
   static bool is_present(const server& backend, time_point now);
-  double expected_first_byte_ms(const server& backend, const choice_request& request,
-                                const protocol::service* service, time_point now) const;
+  struct estimate
+  {
+    double first_byte_ms = 0;
+    double wait_ms = 0;
+    /// For the order among servers: the first byte, and what the request adds to an engine's pause
+    /// for loading weights.
+    double rank_ms = 0;
+  };
+  static estimate expect(const server& backend, const choice_request& request,
+                         const protocol::service* service, time_point now);
+  /// Time that one more request adds to the wait at a server, in milliseconds.
+  static double added_wait_ms(const protocol::service* service);
   void eject(server& backend, time_point now);
   std::size_t ejected_servers(const std::string& service, time_point now) const;
 
   std::map<std::string, server> m_servers;
   std::map<std::string, protocol::service> m_services;
+  std::map<std::string, arrival_rate> m_arrivals;
+  std::size_t m_entries = 1;
   std::mt19937_64 m_random;
 };
 
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 gateway::gateway(async_io::event_loop& loop, const protocol::node_settings& settings,
-                 std::function<std::size_t()> entry_count)
+                 entry_counts counts, send_observer on_send)
     : m_context{.loop = loop,
                 .settings = settings,
                 .routes = nullptr,
@@ -42,7 +42,9 @@
                     token_bucket(log_lines_per_s, log_burst, std::chrono::steady_clock::now()),
                 .dropped_log_lines = 0,
                 .started = std::chrono::steady_clock::now(),
-                .entry_count = std::move(entry_count),
+                .live_entries = std::move(counts.live),
+                .possible_entries = std::move(counts.possible),
+                .on_send = std::move(on_send),
                 .longest_time = {},
                 .stopping = false},
       m_listener(loop, [this](async_io::tcp_connection::pointer connection)
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -12,12 +12,20 @@
 namespace pollenyoke::gateway
 {
 
+/// Numbers of entries, this one included.
+struct entry_counts
+{
+  std::function<std::size_t()> live;
+  /// Those that may be running although nothing is heard of them, too.
+  std::function<std::size_t()> possible;
+};
+
 /// Takes requests of callers and answers them through backend servers.
 class gateway
 {
 public:
-  gateway(async_io::event_loop& loop, const protocol::node_settings& settings,
-          std::function<std::size_t()> entry_count);
+  gateway(async_io::event_loop& loop, const protocol::node_settings& settings, entry_counts counts,
+          send_observer on_send);
   ~gateway();
   gateway(const gateway&) = delete;
   gateway& operator=(const gateway&) = delete;
--- a/Source/Core/Gateway/GatewayContext.h
+++ b/Source/Core/Gateway/GatewayContext.h
@@ -20,6 +20,9 @@
 namespace pollenyoke::gateway
 {
 
+/// Told of each send to an engine: the engine's host and the prompt's tokens.
+using send_observer = std::function<void(const std::string& host, std::uint32_t prompt_tokens)>;
+
 /// What all requests of an entry share.
 struct gateway_context
 {
@@ -35,8 +38,11 @@
   token_bucket log_budget;
   std::uint64_t dropped_log_lines = 0;
   time_point started;
+  /// Live entries, this one included.
+  std::function<std::size_t()> live_entries;
   /// Entries that may share a budget with this one, which is included.
-  std::function<std::size_t()> entry_count;
+  std::function<std::size_t()> possible_entries;
+  send_observer on_send;
   /// Longest time that a caller of each route has stated: the time of a first attempt.
   std::map<std::string, milliseconds> longest_time;
   bool stopping = false;
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -61,6 +61,7 @@
 void request_exchange::start()
 {
   m_context.budget(m_request.service).add_request(m_request.arrived);
+  m_context.backends.add_request(m_request.service, m_context.live_entries(), m_request.arrived);
   auto& longest = m_context.longest_time[m_request.route->name];
   longest = std::max(longest, full_time());
   m_deadline.start(std::max(milliseconds(1), time_left() - answer_margin),
@@ -102,6 +103,7 @@
     if (choice)
     {
       input.first_byte_ms = choice->first_byte_ms;
+      input.wait_ms = choice->wait_ms;
     }
     const admission_verdict verdict = decide_admission(input);
     if (!verdict.admitted)
@@ -115,7 +117,8 @@
       return;
     }
   }
-  if (m_sends > 0 && !m_context.budget(m_request.service).try_repeat(now, m_context.entry_count()))
+  if (m_sends > 0 &&
+      !m_context.budget(m_request.service).try_repeat(now, m_context.possible_entries()))
   {
     m_last_reason += ", repeat budget used up";
     act(final_action(facts(m_last_end)));
@@ -128,6 +131,7 @@
 {
   ++m_sends;
   m_server = choice.id;
+  m_expected_ms = choice.first_byte_ms;
   m_tried.insert(choice.id);
   m_head = {};
   m_body.clear();
@@ -153,6 +157,10 @@
             self->attempt_ended(result);
           }});
   restart_silence_timer();
+  if (m_request.labels.prompt_tokens > 0)
+  {
+    m_context.on_send(choice.address.ip, m_request.labels.prompt_tokens);
+  }
   m_attempt->start();
 }
 
@@ -223,6 +231,10 @@
   if (!m_answer_started)
   {
     m_answer_started = true;
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - m_request.arrived;
+    m_context.metrics.record("first_event_seconds", took.count());
+    m_context.metrics.record("first_event_estimate_error_seconds",
+                             took.count() - m_expected_ms / 1000);
     m_sink.head(m_head, std::nullopt);
   }
 }
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -84,6 +84,9 @@
   async_io::timer m_silence;
   std::shared_ptr<backend_attempt> m_attempt;
   std::string m_server;
+  /// Time to the first byte that the choice of the present server expected.
+  double m_expected_ms = 0;
+
   std::set<std::string> m_tried;
   /// Head and body of an answer that is not passed on yet.
   async_io::message_head m_head;
--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -5,6 +5,7 @@
 #include "Common/Log.h"
 #include "Common/Metrics.h"
 #include "Node/PeerService.h"
+#include "Rollout/ReadBacklog.h"
 #include "Rollout/RolloutAgent.h"
 #include "StateFeed/StateFeed.h"
 #include "platform/Decode.h"
@@ -60,6 +61,8 @@
     return {.operator_offset = [this] { return m_feed.operator_offset(); },
             .on_peer_offset = [this](std::uint64_t offset) { m_feed.note_peer_offset(offset); },
             .on_load = [](const peers::load_message&) {},
+            .on_send_notice = [this](const peers::send_notice& notice)
+            { m_backlog.add(notice.prompt_tokens, std::chrono::steady_clock::now()); },
             .snapshot = [this] { return m_feed.snapshot(); },
             .metrics = [this] { return m_metrics.to_prometheus(); },
             .serve_piece =
@@ -99,9 +102,10 @@
 
   rollout::rollout_handlers make_rollout_handlers()
   {
-    return {.on_report = [this](const protocol::engine_report& report, bool loading)
+    return {.on_report = [this](const protocol::engine_report& report, bool loading,
+                                std::optional<std::chrono::milliseconds> load_in)
             {
-              send_load(report, loading);
+              send_load(report, loading, load_in);
             }};
   }
 
@@ -147,6 +151,7 @@
     {
       m_model = service->second.model;
       m_rollout.set_model(m_model, service->second.engine->chunks);
+      m_backlog.set_rate(service->second.engine->prompt_tokens_per_s);
     }
     for (const auto& [name, other] : config.services)
     {
@@ -167,15 +172,19 @@
     }
   }
 
-  void send_load(const protocol::engine_report& report, bool loading)
+  void send_load(const protocol::engine_report& report, bool loading,
+                 std::optional<std::chrono::milliseconds> load_in)
   {
     m_peers.send_load({.engine = transport::to_string(*m_settings.engine),
                        .waiting = report.waiting,
                        .running = report.running,
+                       .unread_tokens = m_backlog.unread(std::chrono::steady_clock::now()),
                        .memory_used = report.memory_used,
                        .memory_total = report.memory_total,
                        .weight_version = report.whole ? report.weight_version : 0,
                        .loading = loading,
+                       .load_in_ms = static_cast<std::uint32_t>(
+                           load_in.value_or(std::chrono::milliseconds(0)).count()),
                        .pace = static_cast<float>(report.pace),
                        .started_ms = report.started_ms});
   }
@@ -190,6 +199,7 @@
   std::string m_model;
   std::map<std::string, std::uint64_t> m_versions;
   rollout::rollout_agent m_rollout;
+  rollout::read_backlog m_backlog;
   metrics_registry m_metrics;
 };
 
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -31,7 +31,15 @@
       : m_settings(settings), m_caller(m_loop), m_store(m_caller, settings.store),
         m_peers(m_loop, m_caller, m_store, settings, make_peer_handlers()),
         m_feed(m_loop, m_store, make_feed_handlers(), true),
-        m_gateway(m_loop, settings, [this] { return m_peers.possible_entries(); }),
+        m_gateway(m_loop, settings,
+                  {.live = [this] { return m_peers.live(peers::peer_role::entry).size(); },
+                   .possible =
+                       [this]
+                   {
+                     return m_peers.possible_entries();
+                   }},
+                  [this](const std::string& host, std::uint32_t prompt_tokens)
+                  { m_peers.send_notice(host, {.prompt_tokens = prompt_tokens}); }),
         m_readiness(m_loop, [this](const auto& head, const auto& respond)
                     { serve_readiness(head, respond); }),
         m_lookup(m_loop,
@@ -68,6 +76,7 @@
     return {.operator_offset = [this] { return m_feed.operator_offset(); },
             .on_peer_offset = [this](std::uint64_t offset) { m_feed.note_peer_offset(offset); },
             .on_load = [this](const peers::load_message& load) { m_gateway.take_load(load); },
+            .on_send_notice = [](const peers::send_notice&) {},
             .snapshot = [this] { return m_feed.snapshot(); },
             .metrics = [this] { return m_gateway.metrics_text(); },
             .serve_piece = nullptr};
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -122,6 +122,11 @@
   if (const auto* load = std::get_if<peers::load_message>(&*message))
   {
     m_handlers.on_load(*load);
+    return;
+  }
+  if (const auto* notice = std::get_if<peers::send_notice>(&*message))
+  {
+    m_handlers.on_send_notice(*notice);
   }
 }
 
@@ -134,6 +139,11 @@
   }
 }
 
+void peer_service::send_notice(const std::string& agent_ip, const peers::send_notice& notice)
+{
+  m_udp.send(peers::encode_message(notice), {agent_ip, m_settings.peer_port});
+}
+
 std::vector<peers::peer_record> peer_service::live(peers::peer_role role) const
 {
   return m_table.live(role, std::chrono::steady_clock::now());
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -21,6 +21,7 @@
   std::function<std::uint64_t()> operator_offset;
   std::function<void(std::uint64_t)> on_peer_offset;
   std::function<void(const peers::load_message&)> on_load;
+  std::function<void(const peers::send_notice&)> on_send_notice;
   std::function<state_feed::peer_snapshot()> snapshot;
   /// Metrics in Prometheus text format.
   std::function<std::string()> metrics;
@@ -40,6 +41,7 @@
   result<void> start();
   void set_leaving();
   void send_load(const peers::load_message& load);
+  void send_notice(const std::string& agent_ip, const peers::send_notice& notice);
   std::vector<peers::peer_record> live(peers::peer_role role) const;
   /// Entries that may be running, this host included: live ones and hosts not heard of yet.
   std::size_t possible_entries() const;
--- a/Source/Core/Peers/PeerMessages.h
+++ b/Source/Core/Peers/PeerMessages.h
@@ -58,23 +58,39 @@
   std::string engine;
   std::uint32_t waiting = 0;
   std::uint32_t running = 0;
+  /// Prompt tokens that the engine has probably not read yet.
+  std::uint32_t unread_tokens = 0;
   std::uint64_t memory_used = 0;
   std::uint64_t memory_total = 0;
   std::uint64_t weight_version = 0;
   /// The engine loads weights or is about to; it takes no new requests.
   bool loading = false;
+  /// Time until the engine is planned to load, in ms; 0 if it is not.
+  std::uint32_t load_in_ms = 0;
   float pace = 1;
   std::uint64_t started_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(engine, waiting, running, memory_used, memory_total, weight_version, loading, pace,
-            started_ms);
+    archive(engine, waiting, running, unread_tokens, memory_used, memory_total, weight_version,
+            loading, load_in_ms, pace, started_ms);
   }
 };
 
-using peer_message = std::variant<gossip_message, load_message>;
+/// A request that an entry has just sent to an engine, for the agent on the engine's host.
+struct send_notice
+{
+  std::uint32_t prompt_tokens = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(prompt_tokens);
+  }
+};
+
+using peer_message = std::variant<gossip_message, load_message, send_notice>;
 
 std::string encode_message(const peer_message& message);
 result<peer_message> decode_message(std::string_view datagram);
--- a/Source/Core/Rollout/LoadRule.cpp
+++ b/Source/Core/Rollout/LoadRule.cpp
@@ -8,16 +8,22 @@
 
 using std::chrono::milliseconds;
 
-// Ending the running work takes about a second, loading a third of one. Three groups one second
-// apart have all engines loaded well within the eight seconds that a version has.
+// Pieces are with most hosts after three seconds. Ending the running work and loading take one to
+// two more. Three groups about a second apart have all engines loaded within the eight seconds that
+// a version has.
 constexpr std::size_t groups = 3;
-constexpr milliseconds first_group{2400};
-constexpr milliseconds group_interval{1000};
+constexpr milliseconds first_group{2600};
+constexpr milliseconds group_interval{900};
 // Time after which an order without an answer shows in the engine's report if it was accepted.
 constexpr milliseconds order_settles{1000};
 
 } // namespace
 
+milliseconds planned_load(std::size_t position)
+{
+  return first_group + group_interval * static_cast<int>(position % groups);
+}
+
 load_action decide_load(const load_facts& facts)
 {
   const protocol::engine_report& report = facts.report;
@@ -37,9 +43,7 @@
   {
     return load_action::load;
   }
-  const milliseconds turn =
-      first_group + group_interval * static_cast<int>(facts.position % groups);
-  return facts.known_for >= turn ? load_action::load : load_action::wait;
+  return facts.known_for >= planned_load(facts.position) ? load_action::load : load_action::wait;
 }
 
 } // namespace pollenyoke::rollout
--- a/Source/Core/Rollout/LoadRule.h
+++ b/Source/Core/Rollout/LoadRule.h
@@ -29,6 +29,9 @@
   load,
 };
 
+/// Time after a version became known at which a host's engine loads it.
+std::chrono::milliseconds planned_load(std::size_t position);
+
 /// Decides when the engine of this host loads. Load pattern: an engine that loads takes nothing new
 /// and ends its running work first, so engines load in groups, one after the other, while the
 /// others serve. An engine without weights loads at once.
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -127,11 +127,32 @@
     m_ordered_since.reset();
     m_loading_version = 0;
   }
-  m_handlers.on_report(*m_report, m_loading_version != 0 || m_report->busy);
+  report_load(m_loading_version != 0 || m_report->busy);
   fetch_if_needed();
   consider_load();
 }
 
+std::size_t rollout_agent::position() const
+{
+  const auto hosts = m_environment.hosts();
+  return static_cast<std::size_t>(std::find_if(hosts.begin(), hosts.end(),
+                                               [this](const plan_host& host)
+                                               { return host.ip == m_environment.self; }) -
+                                  hosts.begin());
+}
+
+void rollout_agent::report_load(bool loading)
+{
+  std::optional<milliseconds> load_in;
+  const auto named = m_named.find(wanted_version());
+  if (!loading && named != m_named.end() && m_report->weight_version != 0 &&
+      m_report->weight_version < named->first)
+  {
+    load_in = std::max(milliseconds(1), planned_load(position()) - since(named->second));
+  }
+  m_handlers.on_report(*m_report, loading, load_in);
+}
+
 void rollout_agent::fetch_if_needed()
 {
   const std::uint64_t version = wanted_version();
@@ -325,11 +346,7 @@
   facts.ready_version = pieces->version();
   const auto named = m_named.find(pieces->version());
   facts.known_for = named == m_named.end() ? milliseconds(3'600'000) : since(named->second);
-  const auto hosts = m_environment.hosts();
-  facts.position = static_cast<std::size_t>(
-      std::find_if(hosts.begin(), hosts.end(),
-                   [this](const plan_host& host) { return host.ip == m_environment.self; }) -
-      hosts.begin());
+  facts.position = position();
   if (m_order_unknown_since)
   {
     facts.order_unknown_for = since(*m_order_unknown_since);
@@ -338,7 +355,7 @@
   {
     m_order_unknown_since.reset();
     m_loading_version = pieces->version();
-    m_handlers.on_report(*m_report, true);
+    report_load(true);
     stage(0);
   }
 }
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -22,8 +22,10 @@
 struct rollout_handlers
 {
   /// Called for each report of the engine; `loading` from just before an order until the engine
-  /// serves again.
-  std::function<void(const protocol::engine_report&, bool loading)> on_report;
+  /// serves again; `load_in`: time until the planned load, if there is one.
+  std::function<void(const protocol::engine_report&, bool loading,
+                     std::optional<std::chrono::milliseconds> load_in)>
+      on_report;
 };
 
 /// Brings the engine of this host to the newest named version of its weights and hands pieces to
@@ -55,6 +57,9 @@
   };
 
   std::uint64_t wanted_version() const;
+  /// Position of this host among the hosts of the service.
+  std::size_t position() const;
+  void report_load(bool loading);
   void poll_engine();
   void take_report(const result<async_io::http_response>& answer);
   void fetch_if_needed();
