--- /dev/null
+++ b/Source/UnitTests/Gateway/DecisionsTest.cpp
@@ -0,0 +1,344 @@
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Gateway/AdmissionRule.h"
+#include "Gateway/BackendTable.h"
+#include "Gateway/EventStream.h"
+#include "Gateway/RepeatBudget.h"
+#include "Gateway/RetryRule.h"
+#include "Gateway/RouteTable.h"
+#include "Gateway/VersionRule.h"
+
+namespace
+{
+
+using namespace pollenyoke;
+using namespace pollenyoke::gateway;
+using protocol::repeat_rule;
+
+const time_point t0 = time_point{} + std::chrono::hours(1);
+
+protocol::route make_route(const std::string& prefix, const std::string& service)
+{
+  return {.name = prefix, .host = "a.example", .path_prefix = prefix, .targets = {{service, 1}}};
+}
+
+protocol::backend_entry make_entry(const std::string& id, const std::string& service)
+{
+  return {.id = id,
+          .service = service,
+          .address = {"10.0.0." + id, 80},
+          .failure_domain = "a",
+          .slots = 4,
+          .started_ms = 1,
+          .weight_version = 1};
+}
+
+std::map<std::string, protocol::service> engine_service()
+{
+  return {{"pool", {.name = "pool", .slots = 4, .engine = protocol::engine_speed{}, .model = "m"}}};
+}
+
+class decisions_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(decisions_test);
+  CPPUNIT_TEST(longest_prefix_of_the_host_wins);
+  CPPUNIT_TEST(keys_decide_about_teams);
+  CPPUNIT_TEST(split_follows_the_weights);
+  CPPUNIT_TEST(retry_keeps_promises);
+  CPPUNIT_TEST(budget_bounds_repeats_of_all_entries);
+  CPPUNIT_TEST(events_are_passed_on_whole_and_once);
+  CPPUNIT_TEST(admission_refuses_what_would_be_late);
+  CPPUNIT_TEST(old_weights_begin_nothing_after_the_limit);
+  CPPUNIT_TEST(age_of_a_version_outlives_a_restart);
+  CPPUNIT_TEST(leaving_and_gone_servers_are_not_chosen);
+  CPPUNIT_TEST(lapsed_server_stays_for_a_while);
+  CPPUNIT_TEST(failing_servers_are_put_aside_but_never_most);
+  CPPUNIT_TEST(misdirected_server_rests_until_news);
+  CPPUNIT_TEST(engine_without_the_version_is_not_chosen);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void longest_prefix_of_the_host_wins()
+  {
+    protocol::serving_config config;
+    config.routes = {make_route("/a/", "short"), make_route("/a/b/", "long")};
+    const route_table table(config);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), table.find("A.example:80", "/a/b/c")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/"), table.find("a.example", "/a/x")->name);
+    CPPUNIT_ASSERT(table.find("a.example", "/x") == nullptr);
+    CPPUNIT_ASSERT(table.find("b.example", "/a/x") == nullptr);
+  }
+
+  void keys_decide_about_teams()
+  {
+    protocol::serving_config config;
+    config.has_teams = true;
+    config.teams_by_key["k1"] = {"team-a", 0};
+    auto route = make_route("/", "s");
+    CPPUNIT_ASSERT(!identify(config, route, "k2").accepted);
+    CPPUNIT_ASSERT(!identify(config, route, "").accepted);
+    CPPUNIT_ASSERT_EQUAL(std::string("team-a"), identify(config, route, "k1").team);
+    CPPUNIT_ASSERT_EQUAL(0U, identify(config, route, "k1").priority);
+    route.open = true;
+    CPPUNIT_ASSERT(identify(config, route, "").accepted);
+  }
+
+  void split_follows_the_weights()
+  {
+    protocol::route route;
+    route.targets = {{"a", 90}, {"b", 0}, {"c", 10}};
+    CPPUNIT_ASSERT(choose_service(route, 0.0) == "a");
+    CPPUNIT_ASSERT(choose_service(route, 0.89) == "a");
+    CPPUNIT_ASSERT(choose_service(route, 0.95) == "c");
+  }
+
+  /// Guards against a request that runs twice, and against "not run" said of one that may have run.
+  void retry_keeps_promises()
+  {
+    struct retry_case
+    {
+      std::string name;
+      retry_facts facts;
+      retry_action expected;
+    };
+    const std::vector<retry_case> cases = {
+        {"not sent", {.last = attempt_end::not_sent, .sends = 1}, retry_action::again},
+        {"refused by the server",
+         {.last = attempt_end::not_executed, .sends = 1},
+         retry_action::again},
+        {"refused too often",
+         {.last = attempt_end::not_executed, .sends = 3},
+         retry_action::refuse},
+        {"once, unknown",
+         {.last = attempt_end::unknown, .may_have_run = 1, .sends = 1},
+         retry_action::outcome_unknown},
+        {"once, unknown, two attempts allowed",
+         {.last = attempt_end::unknown, .may_have_run = 1, .max_attempts = 2, .sends = 1},
+         retry_action::outcome_unknown},
+        {"idempotent, unknown",
+         {.last = attempt_end::unknown,
+          .repeat = repeat_rule::idempotent,
+          .may_have_run = 1,
+          .max_attempts = 2,
+          .sends = 1},
+         retry_action::again},
+        {"idempotent, attempts used up",
+         {.last = attempt_end::unknown,
+          .repeat = repeat_rule::idempotent,
+          .may_have_run = 2,
+          .max_attempts = 2,
+          .sends = 2},
+         retry_action::outcome_unknown},
+        {"once, error of the server",
+         {.last = attempt_end::server_error, .may_have_run = 1, .sends = 1},
+         retry_action::pass_on},
+        {"stream broken midway",
+         {.last = attempt_end::unknown,
+          .repeat = repeat_rule::idempotent,
+          .may_have_run = 1,
+          .max_attempts = 2,
+          .sends = 1,
+          .answer_started = true,
+          .streaming = true},
+         retry_action::again},
+        {"stream broken midway, not resumable",
+         {.last = attempt_end::unknown,
+          .may_have_run = 1,
+          .max_attempts = 2,
+          .sends = 1,
+          .answer_started = true,
+          .streaming = true},
+         retry_action::cut},
+        {"no time left",
+         {.last = attempt_end::not_sent, .sends = 1, .caller_waits = false},
+         retry_action::refuse}};
+    for (const retry_case& example : cases)
+    {
+      CPPUNIT_ASSERT_MESSAGE(example.name, decide_retry(example.facts) == example.expected);
+    }
+  }
+
+  void budget_bounds_repeats_of_all_entries()
+  {
+    const protocol::repeat_budget_settings settings{.share = 0.2, .extra = 100};
+    constexpr std::size_t entries = 10;
+    std::size_t repeats = 0;
+    for (std::size_t i = 0; i < entries; ++i)
+    {
+      repeat_budget budget(settings, t0);
+      const auto now = t0 + std::chrono::seconds(20);
+      for (int request = 0; request < 100; ++request)
+      {
+        budget.add_request(now);
+      }
+      while (budget.try_repeat(now, entries))
+      {
+        ++repeats;
+      }
+    }
+    CPPUNIT_ASSERT(repeats <= 0.2 * 100 * entries + 100);
+    repeat_budget fresh(settings, t0);
+    CPPUNIT_ASSERT(!fresh.try_repeat(t0, 1));
+  }
+
+  /// Guards against events that are missing, twice or cut where two answers are joined.
+  void events_are_passed_on_whole_and_once()
+  {
+    event_relay relay;
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"),
+                         relay.feed("id: 1\ndata: a\n\nid: 2\nda"));
+    CPPUNIT_ASSERT(!relay.at_boundary());
+    CPPUNIT_ASSERT(relay.last_id() == std::uint64_t{1});
+    relay.start_new_answer();
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 2\ndata: b\n\n"),
+                         relay.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    CPPUNIT_ASSERT(relay.at_boundary());
+    CPPUNIT_ASSERT_EQUAL(std::string("id:3\r\ndata: c\r\n\r\n"),
+                         relay.feed("id:3\r\ndata: c\r\n\r\n"));
+  }
+
+  void admission_refuses_what_would_be_late()
+  {
+    admission_input input{.first_byte_ms = 100,
+                          .objective = milliseconds(400),
+                          .time_left = milliseconds(6000),
+                          .full_time = milliseconds(6000),
+                          .draw = 0.5};
+    CPPUNIT_ASSERT(decide_admission(input).admitted);
+    input.first_byte_ms = 900;
+    input.wait_ms = 800;
+    const auto refused = decide_admission(input);
+    CPPUNIT_ASSERT(!refused.admitted);
+    CPPUNIT_ASSERT(refused.retry_after > milliseconds(0));
+    CPPUNIT_ASSERT(refused.retry_after < milliseconds(2500));
+    // A long prompt at a free engine is not refused: waiting would not make it shorter.
+    input.wait_ms = 0;
+    CPPUNIT_ASSERT(decide_admission(input).admitted);
+    // A caller that comes back late takes spare capacity only.
+    input = {.first_byte_ms = 250,
+             .wait_ms = 150,
+             .objective = milliseconds(400),
+             .time_left = milliseconds(5000),
+             .full_time = milliseconds(6000)};
+    CPPUNIT_ASSERT(!decide_admission(input).admitted);
+    input.first_byte_ms.reset();
+    CPPUNIT_ASSERT(!decide_admission(input).admitted);
+  }
+
+  void old_weights_begin_nothing_after_the_limit()
+  {
+    version_rule rule(milliseconds(8000));
+    rule.name({"m", 2}, true, t0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, rule.minimum("m", t0 + milliseconds(2000)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, rule.minimum("m", t0 + milliseconds(7500)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, rule.minimum("other", t0 + milliseconds(7500)));
+    rule.name({"m", 3}, true, t0 + milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, rule.minimum("m", t0 + milliseconds(8000)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, rule.minimum("m", t0 + milliseconds(12000)));
+  }
+
+  /// Guards against a restarted entry that gives an old version another full limit.
+  void age_of_a_version_outlives_a_restart()
+  {
+    version_rule witness(milliseconds(8000));
+    witness.name({"m", 2}, true, t0);
+    version_rule restarted(milliseconds(8000));
+    const auto later = t0 + milliseconds(3000);
+    restarted.name({"m", 2}, false, later);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, restarted.minimum("m", later));
+    CPPUNIT_ASSERT(restarted.ages(later).empty());
+    restarted.take_ages(witness.ages(later), later);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, restarted.minimum("m", later));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, restarted.minimum("m", t0 + milliseconds(7500)));
+  }
+
+  void leaving_and_gone_servers_are_not_chosen()
+  {
+    backend_table table(1);
+    auto entry = make_entry("1", "desk");
+    table.put(entry, t0);
+    CPPUNIT_ASSERT(table.choose({.service = "desk"}, t0));
+    CPPUNIT_ASSERT(!table.choose({.service = "other"}, t0));
+    entry.draining = true;
+    table.put(entry, t0);
+    CPPUNIT_ASSERT(!table.choose({.service = "desk"}, t0));
+    table.remove("1", std::nullopt);
+    CPPUNIT_ASSERT(!table.choose({.service = "desk"}, t0));
+  }
+
+  void lapsed_server_stays_for_a_while()
+  {
+    backend_table table(1);
+    table.put(make_entry("1", "desk"), t0);
+    table.remove("1", t0 + milliseconds(2000));
+    CPPUNIT_ASSERT(table.choose({.service = "desk"}, t0 + milliseconds(1000)));
+    CPPUNIT_ASSERT(!table.choose({.service = "desk"}, t0 + milliseconds(2000)));
+    table.put(make_entry("1", "desk"), t0 + milliseconds(2500));
+    CPPUNIT_ASSERT(table.choose({.service = "desk"}, t0 + milliseconds(9000)));
+  }
+
+  void failing_servers_are_put_aside_but_never_most()
+  {
+    backend_table table(1);
+    for (const std::string id : {"1", "2", "3"})
+    {
+      table.put(make_entry(id, "desk"), t0);
+    }
+    for (const std::string id : {"1", "2", "3"})
+    {
+      for (int i = 0; i < 3; ++i)
+      {
+        table.begin_attempt(id, t0);
+        table.end_attempt(id, attempt_health::failed, t0);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.view("desk", t0).usable);
+    const auto later = t0 + milliseconds(1500);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, table.view("desk", later).usable);
+    // One request at a time tries a server that was put aside.
+    table.begin_attempt("1", later);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.view("desk", later).usable);
+    table.end_attempt("1", attempt_health::good, later);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, table.view("desk", later).usable);
+  }
+
+  void misdirected_server_rests_until_news()
+  {
+    backend_table table(1);
+    table.put(make_entry("1", "desk"), t0);
+    table.begin_attempt("1", t0);
+    table.end_attempt("1", attempt_health::misdirected, t0);
+    CPPUNIT_ASSERT(!table.choose({.service = "desk"}, t0));
+    CPPUNIT_ASSERT(table.choose({.service = "desk"}, t0 + milliseconds(600)));
+  }
+
+  void engine_without_the_version_is_not_chosen()
+  {
+    backend_table table(1);
+    table.set_services(engine_service());
+    auto entry = make_entry("1", "pool");
+    table.put(entry, t0);
+    CPPUNIT_ASSERT(table.choose({.service = "pool"}, t0));
+    CPPUNIT_ASSERT(!table.choose({.service = "pool", .minimum_version = 2}, t0));
+    peers::load_message load;
+    load.engine = "10.0.0.1:80";
+    load.weight_version = 2;
+    load.loading = true;
+    table.take_load(load, t0);
+    CPPUNIT_ASSERT(!table.choose({.service = "pool", .minimum_version = 2}, t0));
+    load.loading = false;
+    table.take_load(load, t0);
+    CPPUNIT_ASSERT(table.choose({.service = "pool", .minimum_version = 2}, t0));
+    // An engine that has restarted without weights, whatever its record still says.
+    load.weight_version = 0;
+    table.take_load(load, t0);
+    CPPUNIT_ASSERT(!table.choose({.service = "pool"}, t0));
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(decisions_test, "Gateway.Decisions");
+
+} // namespace
--- /dev/null
+++ b/Source/UnitTests/Gateway/LoadPatternTest.cpp
@@ -0,0 +1,120 @@
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numeric>
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Gateway/AdmissionRule.h"
+#include "Gateway/BackendTable.h"
+
+namespace
+{
+
+using namespace pollenyoke;
+using namespace pollenyoke::gateway;
+
+const time_point t0 = time_point{} + std::chrono::hours(1);
+
+/// Load pattern of a fleet whose entries choose by reports that are a tenth of a second old.
+class load_pattern_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(load_pattern_test);
+  CPPUNIT_TEST(shares_level_the_waits);
+  CPPUNIT_TEST(engine_that_has_just_loaded_is_not_flooded);
+  CPPUNIT_TEST(admission_keeps_answers_on_time_at_twice_the_capacity);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void shares_level_the_waits()
+  {
+    const std::vector<double> estimates = {0, 0, 50, 500};
+    const auto shares = fill_shares(estimates, 7, 50);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(shares[0], shares[1], 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(shares[0] - 50, shares[2], 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0, shares[3], 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(7 * 50, std::accumulate(shares.begin(), shares.end(), 0.0), 1e-9);
+  }
+
+  /// Guards against all entries sending to the one engine that its last report shows idle.
+  void engine_that_has_just_loaded_is_not_flooded()
+  {
+    constexpr int entries = 20;
+    std::map<std::string, int> sends;
+    for (int entry = 0; entry < entries; ++entry)
+    {
+      backend_table table(static_cast<std::uint64_t>(entry) + 1);
+      table.set_services({{"pool",
+                           {.name = "pool",
+                            .slots = 16,
+                            .engine = protocol::engine_speed{.usual_prompt = 1000},
+                            .model = "m"}}});
+      for (int engine = 0; engine < 10; ++engine)
+      {
+        protocol::backend_entry backend{.id = std::to_string(engine),
+                                        .service = "pool",
+                                        .address = {"10.0.0." + std::to_string(engine), 80},
+                                        .slots = 16,
+                                        .weight_version = 1};
+        table.put(backend, t0);
+        peers::load_message load;
+        load.engine = transport::to_string(backend.address);
+        load.weight_version = 1;
+        load.running = engine == 0 ? 0 : 10;
+        load.unread_tokens = engine == 0 ? 0 : 1500;
+        table.take_load(load, t0);
+      }
+      for (int i = 0; i < 10; ++i)
+      {
+        table.add_request("pool", entries, t0 - std::chrono::milliseconds(100 * i));
+      }
+      const auto choice =
+          table.choose({.service = "pool", .prompt_tokens = 1000, .answer_tokens = 100}, t0);
+      CPPUNIT_ASSERT(choice);
+      ++sends[choice->id];
+    }
+    CPPUNIT_ASSERT(sends["0"] > 0);
+    CPPUNIT_ASSERT(sends["0"] <= entries / 2);
+  }
+
+  /// Replays twice the load that one server answers on time, first come first served, with and
+  /// without the rule. Without it the queue makes all late.
+  void admission_keeps_answers_on_time_at_twice_the_capacity()
+  {
+    constexpr double service_ms = 50;
+    constexpr double interval_ms = service_ms / 2;
+    constexpr double objective_ms = 400;
+    constexpr int requests = 2000;
+    const auto replay = [&](bool rule)
+    {
+      double free_at = 0;
+      int on_time = 0;
+      for (int i = 0; i < requests; ++i)
+      {
+        const double now = i * interval_ms;
+        const double wait = std::max(0.0, free_at - now);
+        const admission_input input{.first_byte_ms = wait + service_ms,
+                                    .wait_ms = wait,
+                                    .objective = milliseconds(static_cast<int>(objective_ms)),
+                                    .time_left = milliseconds(6000),
+                                    .full_time = milliseconds(6000)};
+        if (rule && !decide_admission(input).admitted)
+        {
+          continue;
+        }
+        free_at = std::max(free_at, now) + service_ms;
+        on_time += free_at - now <= objective_ms ? 1 : 0;
+      }
+      return on_time;
+    };
+    const int capacity = static_cast<int>(requests * interval_ms / service_ms);
+    CPPUNIT_ASSERT(replay(true) >= capacity * 95 / 100);
+    CPPUNIT_ASSERT(replay(false) < capacity / 10);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(load_pattern_test, "Gateway.LoadPattern");
+
+} // namespace
--- /dev/null
+++ b/Source/UnitTests/Peers/PeerTableTest.cpp
@@ -0,0 +1,132 @@
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Peers/PeerTable.h"
+
+namespace
+{
+
+using namespace pollenyoke;
+using namespace pollenyoke::peers;
+using std::chrono::milliseconds;
+
+peer_record entry(const std::string& ip, std::uint64_t incarnation = 1)
+{
+  return {.ip = ip, .role = peer_role::entry, .incarnation = incarnation};
+}
+
+class peer_table_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(peer_table_test);
+  CPPUNIT_TEST(news_reach_sixty_processes_within_six_rounds);
+  CPPUNIT_TEST(silent_process_is_not_live_and_comes_back);
+  CPPUNIT_TEST(leaving_process_is_not_named);
+  CPPUNIT_TEST(old_news_of_an_earlier_run_change_nothing);
+  CPPUNIT_TEST(unheard_hosts_count_as_possible);
+  CPPUNIT_TEST(messages_survive_the_wire_and_garbage_is_an_error);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::string ip(std::size_t number)
+  {
+    return "10.0.0." + std::to_string(number);
+  }
+
+public:
+  /// Guards against gossip that spreads too slowly for lookups to name new entries in time.
+  void news_reach_sixty_processes_within_six_rounds()
+  {
+    constexpr std::size_t count = 60;
+    std::vector<peer_table> tables;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+      tables.emplace_back(entry(ip(i)), std::vector<std::string>{ip(0), ip(1)}, 7 + i);
+    }
+    peer_table::time_point now{};
+    for (int round = 0; round < 12; ++round)
+    {
+      now += gossip_interval;
+      for (peer_table& table : tables)
+      {
+        table.beat();
+        for (const std::string& target : table.choose_targets(now))
+        {
+          const auto index = static_cast<std::size_t>(std::stoi(target.substr(7)));
+          tables[index].merge(table.make_message(0, now), now);
+        }
+      }
+    }
+    for (const peer_table& table : tables)
+    {
+      CPPUNIT_ASSERT_EQUAL(count, table.live(peer_role::entry, now).size());
+    }
+  }
+
+  void silent_process_is_not_live_and_comes_back()
+  {
+    peer_table table(entry("10.0.0.1"), {}, 1);
+    peer_table::time_point now{};
+    peer_record other = entry("10.0.0.2");
+    table.merge({.peers = {other}}, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.live(peer_role::entry, now).size());
+    now += silence_limit + milliseconds(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.live(peer_role::entry, now).size());
+    const auto targets = table.choose_targets(now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, targets.size());
+    other.heartbeat = 9;
+    table.merge({.peers = {other}}, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.live(peer_role::entry, now).size());
+  }
+
+  void leaving_process_is_not_named()
+  {
+    peer_table table(entry("10.0.0.1"), {}, 1);
+    peer_record other = entry("10.0.0.2");
+    other.leaving = true;
+    table.merge({.peers = {other}}, {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.live(peer_role::entry, {}).size());
+    table.set_leaving();
+    CPPUNIT_ASSERT(table.live(peer_role::entry, {}).empty());
+  }
+
+  /// Guards against a restarted process that stays "leaving" because of late news.
+  void old_news_of_an_earlier_run_change_nothing()
+  {
+    peer_table table(entry("10.0.0.1"), {}, 1);
+    table.merge({.peers = {entry("10.0.0.2", 5)}}, {});
+    peer_record earlier = entry("10.0.0.2", 4);
+    earlier.heartbeat = 1000;
+    earlier.leaving = true;
+    table.merge({.peers = {earlier}}, {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.live(peer_role::entry, {}).size());
+  }
+
+  /// Guards against entries that each take the whole fleet's repeats right after a common start.
+  void unheard_hosts_count_as_possible()
+  {
+    peer_table table(entry("10.0.0.1"), {"10.0.0.2", "10.0.0.3"}, 1);
+    table.merge({.peers = {{.ip = "10.0.0.3", .role = peer_role::agent}}}, {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.possible(peer_role::entry));
+  }
+
+  void messages_survive_the_wire_and_garbage_is_an_error()
+  {
+    load_message load;
+    load.engine = "10.0.0.9:80";
+    load.unread_tokens = 77;
+    const std::string bytes = encode_message(load);
+    const auto decoded = decode_message(bytes);
+    CPPUNIT_ASSERT(decoded);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{77}, std::get<load_message>(*decoded).unread_tokens);
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+    {
+      CPPUNIT_ASSERT(!decode_message(std::string_view(bytes).substr(0, size)));
+    }
+    CPPUNIT_ASSERT(!decode_message("\x01\xff\xff\xff\xff garbage"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(peer_table_test, "Peers");
+
+} // namespace
--- /dev/null
+++ b/Source/UnitTests/StateFeed/StateFeedTest.cpp
@@ -0,0 +1,246 @@
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "StateFeed/StateFeed.h"
+
+namespace
+{
+
+using namespace pollenyoke;
+using namespace pollenyoke::state_feed;
+using std::chrono::milliseconds;
+
+/// Answers calls from a script; calls without an answer stay open, as on a silent connection.
+struct scripted_store
+{
+  struct call
+  {
+    std::string what;
+    page_handler done;
+  };
+  std::deque<call> calls;
+
+  void newest(record_topic topic, page_handler done)
+  {
+    calls.push_back({topic == record_topic::operator_records ? "newest op" : "newest servers",
+                     std::move(done)});
+  }
+  void read(record_topic topic, std::uint64_t from, milliseconds /*wait*/, page_handler done)
+  {
+    const std::string name = topic == record_topic::operator_records ? "read op " : "read servers ";
+    calls.push_back({name + std::to_string(from), std::move(done)});
+  }
+
+  std::string next_call() const
+  {
+    return calls.empty() ? "none" : calls.front().what;
+  }
+  void answer(result<record_page> page)
+  {
+    const call first = std::move(calls.front());
+    calls.pop_front();
+    first.done(std::move(page));
+  }
+};
+
+record_page page(std::vector<record> records, std::uint64_t end)
+{
+  return {std::move(records), end, end};
+}
+
+class state_feed_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(state_feed_test);
+  CPPUNIT_TEST(follows_changes_of_the_store);
+  CPPUNIT_TEST(records_no_longer_kept_are_read_anew);
+  CPPUNIT_TEST(rewound_history_is_read_anew);
+  CPPUNIT_TEST(failed_store_is_replaced_by_a_peer);
+  CPPUNIT_TEST(reader_of_the_domain_is_asked_first);
+  CPPUNIT_TEST(reader_without_answer_is_passed_over);
+  CPPUNIT_TEST(peer_that_is_ahead_ends_a_silent_read);
+  CPPUNIT_TEST(short_outage_lets_no_record_lapse);
+  CPPUNIT_TEST_SUITE_END();
+
+  async_io::event_loop m_loop;
+  async_io::timer m_timer{m_loop};
+  scripted_store m_store;
+  std::map<std::string, std::string> m_records;
+  bool m_lapsed = false;
+  std::optional<result<relay_page>> m_reader;
+  std::optional<peer_snapshot> m_peer;
+  int m_peer_calls = 0;
+
+  state_feed<scripted_store> make_feed(bool follow_backends)
+  {
+    return state_feed<scripted_store>(m_loop, m_store,
+                                      {.on_operator_record = [this](const record& change)
+                                       { m_records[change.key] = change.value.value_or("-"); },
+                                       .on_backend_record =
+                                           [this](const record& change, bool may_have_lapsed)
+                                       {
+                                         m_records[change.key] = change.value.value_or("-");
+                                         m_lapsed = may_have_lapsed;
+                                       },
+                                       .ask_peer =
+                                           [this](auto done)
+                                       {
+                                         ++m_peer_calls;
+                                         if (m_peer)
+                                         {
+                                           done(*m_peer);
+                                         }
+                                       },
+                                       .ask_reader =
+                                           [this](record_topic, std::uint64_t, auto done)
+                                       {
+                                         if (!m_reader)
+                                         {
+                                           return false;
+                                         }
+                                         const auto answer = *m_reader;
+                                         m_reader.reset();
+                                         done(answer);
+                                         return true;
+                                       }},
+                                      follow_backends);
+  }
+
+  /// Lets timers of the feed run until the store is called or `limit` has passed.
+  void run_until_call(milliseconds limit = milliseconds(5000))
+  {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    std::function<void()> check = [&]
+    {
+      if (!m_store.calls.empty() || std::chrono::steady_clock::now() >= end)
+      {
+        m_loop.stop();
+        return;
+      }
+      m_timer.start(milliseconds(5), check);
+    };
+    m_timer.start(milliseconds(0), check);
+    m_loop.run();
+  }
+
+public:
+  void follows_changes_of_the_store()
+  {
+    auto feed = make_feed(false);
+    feed.start();
+    CPPUNIT_ASSERT_EQUAL(std::string("newest op"), m_store.next_call());
+    m_store.answer(page({{"config", "1", 0}}, 1));
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 1"), m_store.next_call());
+    m_store.answer(page({{"config", "2", 1}}, 2));
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), m_records["config"]);
+  }
+
+  /// Guards against a reader that waits for ever at an offset that the store has dropped.
+  void records_no_longer_kept_are_read_anew()
+  {
+    auto feed = make_feed(false);
+    feed.start();
+    m_store.answer(page({{"config", "1", 0}}, 1));
+    run_until_call();
+    m_store.answer(fail(error_code::expired, "gone"));
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("newest op"), m_store.next_call());
+    m_store.answer(page({{"config", "9", 40}}, 41));
+    CPPUNIT_ASSERT_EQUAL(std::string("9"), m_records["config"]);
+  }
+
+  void rewound_history_is_read_anew()
+  {
+    auto feed = make_feed(false);
+    feed.start();
+    m_store.answer(page({{"config", "5", 9}}, 10));
+    run_until_call();
+    m_store.answer(page({}, 3));
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("newest op"), m_store.next_call());
+  }
+
+  /// Guards against a process that keeps an old configuration while the store turns it away.
+  void failed_store_is_replaced_by_a_peer()
+  {
+    auto feed = make_feed(false);
+    m_peer = peer_snapshot{.has_operator_records = true,
+                           .operator_records = page({{"config", "4", 3}}, 4)};
+    feed.start();
+    m_store.answer(fail(error_code::unavailable, "503"));
+    CPPUNIT_ASSERT_EQUAL(1, m_peer_calls);
+    CPPUNIT_ASSERT_EQUAL(std::string("4"), m_records["config"]);
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 4"), m_store.next_call());
+  }
+
+  void reader_of_the_domain_is_asked_first()
+  {
+    auto feed = make_feed(false);
+    feed.start();
+    m_store.answer(page({}, 0));
+    m_reader = relay_page{false, page({{"config", "1", 0}}, 1), 0};
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), m_records["config"]);
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 1"), m_store.next_call());
+  }
+
+  /// Guards against a domain that is cut off with its reader.
+  void reader_without_answer_is_passed_over()
+  {
+    auto feed = make_feed(false);
+    feed.start();
+    m_store.answer(page({}, 0));
+    m_reader = result<relay_page>(fail(error_code::unavailable, "frozen"));
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 0"), m_store.next_call());
+  }
+
+  void peer_that_is_ahead_ends_a_silent_read()
+  {
+    auto feed = make_feed(false);
+    feed.start();
+    m_store.answer(page({}, 0));
+    run_until_call();
+    const auto silent = std::move(m_store.calls.front());
+    m_store.calls.clear();
+    feed.note_peer_offset(3);
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(1, m_peer_calls);
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 0"), m_store.next_call());
+  }
+
+  /// Guards against a leaving server that stays in use after a single lost answer.
+  void short_outage_lets_no_record_lapse()
+  {
+    auto feed = make_feed(true);
+    feed.start();
+    m_store.answer(page({}, 0));
+    m_store.answer(page({{"s1", "up", 0}}, 1));
+    m_store.calls.clear();
+    run_until_call();
+    while (m_store.next_call() != "read servers 1")
+    {
+      m_store.calls.pop_front();
+      run_until_call();
+    }
+    m_store.answer(fail(error_code::closed, "lost"));
+    run_until_call();
+    while (m_store.next_call() != "read servers 1")
+    {
+      m_store.calls.pop_front();
+      run_until_call();
+    }
+    m_store.answer(page({{"s1", std::nullopt, 1}}, 2));
+    CPPUNIT_ASSERT_EQUAL(std::string("-"), m_records["s1"]);
+    CPPUNIT_ASSERT(!m_lapsed);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(state_feed_test, "StateFeed.Feed");
+
+} // namespace
