--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "Common/Log.h"
-#include "StateFeed/StateFeed.h"
+#include "StateFeed/StateFollower.h"
 
 namespace pollenyoke::gateway
 {
--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -7,7 +7,7 @@
 #include "Node/PeerService.h"
 #include "Rollout/ReadBacklog.h"
 #include "Rollout/RolloutAgent.h"
-#include "StateFeed/StateFeed.h"
+#include "StateFeed/StateFollower.h"
 #include "platform/Decode.h"
 #include "platform/Names.h"
 #include "platform/StoreClient.h"
@@ -72,10 +72,15 @@
                                     std::function<void(std::string)> respond)
             { m_feed.serve_changes(topic, offset, left_out, std::move(respond)); },
             .metrics = [this] { return m_metrics.to_prometheus(); },
-            .serve_piece =
+            .serve_weights =
                 [this](const async_io::message_head& head,
                        const async_io::http_listener::responder& respond)
             {
+              if (async_io::path_of(head.target) == "/manifest")
+              {
+                m_rollout.serve_manifest(head, respond);
+                return;
+              }
               m_rollout.serve_piece(head, respond);
             }};
   }
@@ -205,7 +210,7 @@
   async_io::http_caller m_caller;
   platform::store_client m_store;
   peer_service m_peers;
-  state_feed::state_feed<platform::store_client> m_feed;
+  state_feed::state_follower<platform::store_client> m_feed;
   transport::endpoint m_origin;
   std::string m_model;
   std::map<std::string, std::uint64_t> m_versions;
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -6,7 +6,7 @@
 #include "Common/Log.h"
 #include "Gateway/Gateway.h"
 #include "Node/PeerService.h"
-#include "StateFeed/StateFeed.h"
+#include "StateFeed/StateFollower.h"
 #include "platform/Decode.h"
 #include "platform/Names.h"
 #include "platform/StoreClient.h"
@@ -86,7 +86,7 @@
                                     std::function<void(std::string)> respond)
             { m_feed.serve_changes(topic, offset, left_out, std::move(respond)); },
             .metrics = [this] { return m_gateway.metrics_text(); },
-            .serve_piece = nullptr};
+            .serve_weights = nullptr};
   }
 
   state_feed::feed_handlers make_feed_handlers()
@@ -205,7 +205,7 @@
   async_io::http_caller m_caller;
   platform::store_client m_store;
   peer_service m_peers;
-  state_feed::state_feed<platform::store_client> m_feed;
+  state_feed::state_follower<platform::store_client> m_feed;
   gateway::gateway m_gateway;
   async_io::http_listener m_readiness;
   async_io::http_listener m_lookup;
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -80,7 +80,9 @@
 {
   m_table.beat();
   send_gossip();
-  m_gossip_timer.start(peers::gossip_interval, [this] { gossip(); });
+  const bool starting = std::chrono::steady_clock::now() - m_started < peers::fast_gossip_time;
+  m_gossip_timer.start(starting ? peers::fast_gossip_interval : peers::gossip_interval,
+                       [this] { gossip(); });
 }
 
 peers::gossip_message peer_service::make_gossip(async_io::time_point now)
@@ -270,9 +272,9 @@
     respond({200, "text/plain; version=0.0.4", m_handlers.metrics()});
     return;
   }
-  if (path == "/piece" && m_handlers.serve_piece)
+  if ((path == "/piece" || path == "/manifest") && m_handlers.serve_weights)
   {
-    m_handlers.serve_piece(head, respond);
+    m_handlers.serve_weights(head, respond);
     return;
   }
   respond({.status = 404});
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -30,9 +30,9 @@
       serve_changes;
   /// Metrics in Prometheus text format.
   std::function<std::string()> metrics;
-  /// Answers `GET /piece`; empty where no pieces are held.
+  /// Answers `GET /piece` and `GET /manifest`; empty where no pieces are held.
   std::function<void(const async_io::message_head&, const async_io::http_listener::responder&)>
-      serve_piece;
+      serve_weights;
 };
 
 /// Talks with the other processes of the fleet: who is there, load of engines, state and pieces.
@@ -83,6 +83,7 @@
   async_io::timer m_gossip_timer;
   async_io::timer m_register_timer;
   async_io::timer m_hosts_timer;
+  async_io::time_point m_started = std::chrono::steady_clock::now();
   std::size_t m_next_source = 0;
 };
 
--- a/Source/Core/Peers/PeerTable.h
+++ b/Source/Core/Peers/PeerTable.h
@@ -14,6 +14,10 @@
 
 // Interval between two rounds in which a process tells a few others what it knows.
 constexpr std::chrono::milliseconds gossip_interval{500};
+// A process that has just started makes itself known faster: after a loss of power all start
+// together and nobody knows anybody.
+constexpr std::chrono::milliseconds fast_gossip_interval{120};
+constexpr std::chrono::milliseconds fast_gossip_time{2500};
 // With 3 targets a round, news reaches 60 processes in about 4 rounds.
 constexpr std::size_t gossip_targets = 3;
 // Eight missed rounds: two rounds of spreading and six for losses.
--- a/Source/Core/Rollout/PieceFetcher.cpp
+++ b/Source/Core/Rollout/PieceFetcher.cpp
@@ -19,9 +19,14 @@
 // The origin's link of 15 Mbit/s sends one piece of 49 KB in 26 ms. Reads begin at this pace, so
 // that the first pieces spread while the others are read.
 constexpr milliseconds origin_pace{24};
-// A piece takes 0.35 s over a link that is narrowed to 1.2 Mbit/s, and several share the link.
-constexpr milliseconds piece_timeout{2500};
-constexpr milliseconds manifest_timeout{800};
+// A peer waits up to 2.5 s for the piece and has up to 2.5 s of other pieces before it in its
+// queue. Asking another source earlier would have the piece sent twice.
+constexpr milliseconds piece_timeout{5000};
+// After a loss of power all hosts may read the origin at once: its link sends what they ask for in
+// some seconds, and a read that is given up has used it in vain.
+constexpr milliseconds origin_timeout{6000};
+constexpr unsigned max_origin_reads = 3;
+constexpr milliseconds manifest_timeout{1500};
 constexpr milliseconds retry_pause{150};
 // Spoilt pieces from several sources point to a spoilt manifest.
 constexpr unsigned mismatches_per_manifest = 3;
@@ -38,6 +43,16 @@
   return call;
 }
 
+async_io::http_call peer_manifest_call(const transport::endpoint& peer, const std::string& model,
+                                       std::uint64_t version)
+{
+  async_io::http_call call;
+  call.address = peer;
+  call.target =
+      "/manifest?model=" + async_io::percent_encode(model) + "&version=" + std::to_string(version);
+  return call;
+}
+
 piece_fetcher::piece_fetcher(fetch_environment environment, std::string model,
                              std::uint64_t version, std::function<void(std::uint32_t)> on_piece)
     : m_environment(std::move(environment)), m_model(std::move(model)), m_version(version),
@@ -54,6 +69,7 @@
 {
   m_stopped = true;
   m_waiting.clear();
+  m_waiting_for_origin.clear();
   m_manifest_timer.cancel();
   m_retry_timers.clear();
 }
@@ -68,6 +84,32 @@
   return m_version;
 }
 
+const std::string& piece_fetcher::manifest() const
+{
+  return m_manifest;
+}
+
+const fetch_counts& piece_fetcher::counts() const
+{
+  return m_counts;
+}
+
+async_io::http_call piece_fetcher::manifest_source()
+{
+  const auto hosts = m_environment.hosts();
+  const unsigned tries = m_manifest_tries++;
+  // Every second try goes to another host: the origin may be busy or down.
+  if (tries % 2 == 1 && hosts.size() > 1)
+  {
+    const auto& host = hosts[(tries / 2 * 7 + m_version) % hosts.size()];
+    if (host.ip != m_environment.self)
+    {
+      return peer_manifest_call({host.ip, m_environment.peer_port}, m_model, m_version);
+    }
+  }
+  return platform::manifest_call(m_environment.origin(), m_model, m_version);
+}
+
 void piece_fetcher::ask_manifest()
 {
   if (m_stopped || m_asking_manifest)
@@ -75,7 +117,7 @@
     return;
   }
   m_asking_manifest = true;
-  auto call = platform::manifest_call(m_environment.origin(), m_model, m_version);
+  auto call = manifest_source();
   call.timeout = manifest_timeout;
   m_environment.caller.call(std::move(call),
                             [self = shared_from_this()](const result<async_io::http_response>& in)
@@ -97,6 +139,7 @@
     if (pieces && pieces->version() == m_version && pieces->size() > 0)
     {
       const bool first = m_pieces == nullptr;
+      m_manifest = answer->body;
       if (first)
       {
         m_pieces = std::make_unique<piece_set>(std::move(*pieces));
@@ -147,7 +190,7 @@
       source.origin
           ? platform::piece_call(m_environment.origin(), m_model, m_version, piece)
           : peer_piece_call({source.ip, m_environment.peer_port}, m_model, m_version, piece);
-  call.timeout = piece_timeout;
+  call.timeout = source.origin ? origin_timeout : piece_timeout;
   ++m_in_flight;
   m_environment.caller.call(std::move(call),
                             [self = shared_from_this(), piece, attempt,
@@ -159,14 +202,23 @@
                                const result<async_io::http_response>& answer)
 {
   --m_in_flight;
+  m_origin_reads -= from_origin ? 1U : 0U;
   if (m_stopped)
   {
     return;
   }
+  if (!m_waiting_for_origin.empty() && m_origin_reads < max_origin_reads)
+  {
+    // Meanwhile another host may have the piece: its source is chosen anew.
+    const auto [waiting, tries] = m_waiting_for_origin.front();
+    m_waiting_for_origin.pop_front();
+    fetch(waiting, tries);
+  }
   if (answer && answer->head.status == 200)
   {
     if (m_pieces->put(piece, answer->body))
     {
+      ++(from_origin ? m_counts.from_origin : m_counts.from_peers);
       m_on_piece(piece);
       fill();
       return;
@@ -179,7 +231,23 @@
       ask_manifest();
     }
   }
-  fetch_after(retry_pause, piece, attempt + 1);
+  ++(from_origin ? m_counts.failed_origin : m_counts.failed_peers);
+  log_debug(log_category::weights, "piece not received",
+            {{"version", m_version},
+             {"piece", piece},
+             {"origin", from_origin},
+             {"attempt", attempt},
+             {"reason",
+              answer ? "status " + std::to_string(answer->head.status) : answer.error().message}});
+  // A peer that has the piece not yet is no worse a source than others; only the second such answer
+  // moves on.
+  const bool not_yet = answer && answer->head.status == 404 && !from_origin;
+  const bool stay = not_yet && m_not_yet.insert(piece).second;
+  if (!stay)
+  {
+    m_not_yet.erase(piece);
+  }
+  fetch_after(retry_pause, piece, stay ? attempt : attempt + 1);
   fill();
 }
 
--- a/Source/Core/Rollout/PieceFetcher.h
+++ b/Source/Core/Rollout/PieceFetcher.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,20 @@
 async_io::http_call peer_piece_call(const transport::endpoint& peer, const std::string& model,
                                     std::uint64_t version, std::uint32_t piece);
 
+/// The call with which a host asks another one for the manifest.
+async_io::http_call peer_manifest_call(const transport::endpoint& peer, const std::string& model,
+                                       std::uint64_t version);
+
+/// How the pieces of a version came.
+struct fetch_counts
+{
+  unsigned from_origin = 0;
+  unsigned from_peers = 0;
+  /// Reads without a piece: timed out, refused or spoilt.
+  unsigned failed_origin = 0;
+  unsigned failed_peers = 0;
+};
+
 /// Fetches one version of a model: its manifest, then its pieces.
 class piece_fetcher : public std::enable_shared_from_this<piece_fetcher>
 {
@@ -43,8 +58,12 @@
   /// Null until the manifest is known.
   const piece_set* pieces() const;
   std::uint64_t version() const;
+  /// The manifest as the origin sent it; empty until it is known.
+  const std::string& manifest() const;
+  const fetch_counts& counts() const;
 
 private:
+  async_io::http_call manifest_source();
   void ask_manifest();
   void take_manifest(const result<async_io::http_response>& answer);
   void fill();
@@ -61,7 +80,15 @@
   std::deque<std::uint32_t> m_waiting;
   std::vector<std::unique_ptr<async_io::timer>> m_retry_timers;
   async_io::timer m_manifest_timer;
+  std::string m_manifest;
+  fetch_counts m_counts;
+  /// Pieces that wait for a read of the origin, with their attempts.
+  std::deque<std::pair<std::uint32_t, unsigned>> m_waiting_for_origin;
+  /// Pieces that a peer has just answered not to have.
+  std::set<std::uint32_t> m_not_yet;
+  unsigned m_manifest_tries = 0;
   unsigned m_in_flight = 0;
+  unsigned m_origin_reads = 0;
   unsigned m_mismatches = 0;
   bool m_asking_manifest = false;
   bool m_stopped = false;
--- a/Source/Core/Rollout/PiecePlan.cpp
+++ b/Source/Core/Rollout/PiecePlan.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// One of so many attempts of a piece's owner asks another host, which may have read it meanwhile.
+constexpr unsigned owner_peer_turn = 4;
+
 struct regions_view
 {
   std::map<std::string, std::vector<std::string>> hosts;
@@ -67,16 +70,23 @@
   {
     return {.ip = owner};
   }
-  // Hosts in turn, then the origin: by then most hosts of the region have the piece.
+  // Hosts in turn, then the origin: by then most hosts of the region have the piece. Nobody else
+  // has what its owner has not read, so the owner mostly tries the origin again.
   const std::size_t turn = attempt + piece;
-  if (attempt % 3 == 0 || (owner == self && attempt % 2 == 0))
+  if (owner == self ? attempt % owner_peer_turn != 0 : attempt % 3 == 0)
   {
     return {.origin = true};
   }
-  const auto& candidates = region->second.size() > 1 ? region->second : view.hosts.begin()->second;
-  const std::string& candidate = candidates[turn % candidates.size()];
-  return candidate == self ? piece_source{.ip = candidates[(turn + 1) % candidates.size()]}
-                           : piece_source{.ip = candidate};
+  std::vector<std::string> candidates;
+  for (const plan_host& host : hosts)
+  {
+    const bool near = host.region == region->first || region->second.size() == 1;
+    if (near && host.ip != self)
+    {
+      candidates.push_back(host.ip);
+    }
+  }
+  return {.ip = candidates[turn % candidates.size()]};
 }
 
 std::vector<std::uint32_t> fetch_order(std::span<const plan_host> hosts, const std::string& self,
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -18,12 +18,17 @@
 constexpr milliseconds poll_interval{100};
 constexpr milliseconds poll_timeout{500};
 // A peer asks another source when the piece has not arrived here in this time.
-constexpr milliseconds peer_wait{1200};
+constexpr milliseconds peer_wait{2500};
 constexpr std::size_t max_waiting_peers = 2048;
 // One piece may leave at once.
 constexpr double uplink_burst_bytes = 49152;
 // The origin's link has sent one copy of the weights by then.
 constexpr milliseconds handed_out_after{1400};
+// A process that has just started knows few others yet; reading by itself what they read for it
+// would fill the origin's link. It waits until it has heard of no new host for a while.
+constexpr milliseconds shortest_settling{700};
+constexpr milliseconds quiet_settling{350};
+constexpr milliseconds longest_settling{3000};
 // An engine that is idle this long after it accepted an order will not carry it out.
 constexpr milliseconds order_lifetime{2000};
 // Pieces of the serving version and of the next one stay, for hosts that come later.
@@ -155,6 +160,20 @@
   m_handlers.on_report(*m_report, loading, load_in);
 }
 
+bool rollout_agent::has_settled()
+{
+  const auto now = std::chrono::steady_clock::now();
+  const std::size_t hosts = m_environment.hosts().size();
+  if (hosts != m_hosts_seen)
+  {
+    m_hosts_seen = hosts;
+    m_hosts_changed = now;
+  }
+  const auto up = now - m_started;
+  return up >= longest_settling ||
+         (up >= shortest_settling && now - m_hosts_changed >= quiet_settling);
+}
+
 void rollout_agent::fetch_if_needed()
 {
   const std::uint64_t version = wanted_version();
@@ -227,13 +246,33 @@
   }
   if (pieces->is_complete())
   {
+    const fetch_counts& counts = m_fetchers.at(version)->counts();
     log_info(log_category::weights, "all pieces held",
              {{"version", version},
-              {"after_ms", m_named.contains(version) ? since(m_named.at(version)).count() : 0}});
+              {"after_ms", m_named.contains(version) ? since(m_named.at(version)).count() : 0},
+              {"from_origin", counts.from_origin},
+              {"from_peers", counts.from_peers},
+              {"failed_origin", counts.failed_origin},
+              {"failed_peers", counts.failed_peers}});
     consider_load();
   }
 }
 
+void rollout_agent::serve_manifest(const async_io::message_head& head,
+                                   const async_io::http_listener::responder& respond)
+{
+  std::uint64_t version = 0;
+  const bool valid =
+      async_io::parse_number(async_io::query_parameter(head.target, "version"), version);
+  const auto fetcher = m_fetchers.find(version);
+  if (!valid || fetcher == m_fetchers.end() || fetcher->second->manifest().empty())
+  {
+    respond({.status = 404});
+    return;
+  }
+  respond({200, "application/json", fetcher->second->manifest()});
+}
+
 void rollout_agent::serve_piece(const async_io::message_head& head,
                                 const async_io::http_listener::responder& respond)
 {
@@ -260,7 +299,7 @@
     return;
   }
   auto& waiting = m_waiting_peers[version];
-  const bool may_come = fetcher != m_fetchers.end() || version > wanted_version();
+  const bool may_come = fetcher != m_fetchers.end() || version >= wanted_version();
   if (!may_come || waiting.size() >= max_waiting_peers)
   {
     respond({.status = 404});
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -39,6 +39,9 @@
   void start();
   void set_model(const std::string& model, std::uint32_t pieces);
   void name_version(const protocol::named_version& version);
+  /// Answers a request of a peer for the manifest of a version.
+  void serve_manifest(const async_io::message_head& head,
+                      const async_io::http_listener::responder& respond);
   /// Answers a request of a peer for a piece, at once or when the piece arrives.
   void serve_piece(const async_io::message_head& head,
                    const async_io::http_listener::responder& respond);
@@ -59,6 +62,8 @@
   std::uint64_t wanted_version() const;
   /// Position of this host among the hosts of the service.
   std::size_t position() const;
+  /// The hosts that this process knows have not changed for a while.
+  bool has_settled();
   void report_load(bool loading);
   void poll_engine();
   void take_report(const result<async_io::http_response>& answer);
@@ -81,6 +86,9 @@
   transport::endpoint m_engine;
   rollout_handlers m_handlers;
   async_io::timer m_poll_timer;
+  async_io::time_point m_started = std::chrono::steady_clock::now();
+  std::size_t m_hosts_seen = 0;
+  async_io::time_point m_hosts_changed{};
   std::string m_model;
   std::uint32_t m_piece_count = 0;
   /// Named versions and when this host heard of them.
--- a/Source/Core/StateFeed/StateFeed.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -62,10 +62,11 @@
 /// Follows the operator's records and, for entries, those of the backend servers: from the store,
 /// from the reader of the failure domain, or from any peer while neither serves this process.
 template <record_store Store>
-class state_feed
+class state_follower
 {
 public:
-  state_feed(async_io::event_loop& loop, Store& store, feed_handlers handlers, bool follow_backends)
+  state_follower(async_io::event_loop& loop, Store& store, feed_handlers handlers,
+                 bool follow_backends)
       : m_store(store), m_handlers(std::move(handlers)), m_follow_backends(follow_backends),
         m_operator(loop, record_topic::operator_records,
                    [this](const record& change) { m_handlers.on_operator_record(change); }),
--- a/Source/UnitTests/Platform/StoreClientTest.cpp
+++ b/Source/UnitTests/Platform/StoreClientTest.cpp
@@ -119,7 +119,7 @@
   void garbage_is_an_error()
   {
     const std::string header = big_endian(9, 8) + big_endian(0, 8);
-    for (const std::string body :
+    for (const std::string& body :
          {std::string("short"), header + "xyz", header + big_endian(100, 4) + "k",
           header + big_endian(0, 4), header + big_endian(2, 4) + "\x09k"})
     {
--- a/Source/UnitTests/StateFeed/StateFeedTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -5,7 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "StateFeed/StateFeed.h"
+#include "StateFeed/StateFollower.h"
 
 namespace
 {
@@ -52,9 +52,9 @@
   return {std::move(records), end, end};
 }
 
-class state_feed_test : public CppUnit::TestFixture
+class state_follower_test : public CppUnit::TestFixture
 {
-  CPPUNIT_TEST_SUITE(state_feed_test);
+  CPPUNIT_TEST_SUITE(state_follower_test);
   CPPUNIT_TEST(follows_changes_of_the_store);
   CPPUNIT_TEST(records_no_longer_kept_are_read_anew);
   CPPUNIT_TEST(rewound_history_is_read_anew);
@@ -74,9 +74,9 @@
   std::optional<peer_snapshot> m_peer;
   int m_peer_calls = 0;
 
-  state_feed<scripted_store> make_feed(bool follow_backends)
+  state_follower<scripted_store> make_feed(bool follow_backends)
   {
-    return state_feed<scripted_store>(m_loop, m_store,
+    return state_follower<scripted_store>(m_loop, m_store,
                                       {.on_operator_record = [this](const record& change)
                                        { m_records[change.key] = change.value.value_or("-"); },
                                        .on_backend_record =
@@ -241,6 +241,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(state_feed_test, "StateFeed.Feed");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(state_follower_test, "StateFeed.Follower");
 
 } // namespace
