--- a/Source/Core/AsyncIo/EventLoop.cpp
+++ b/Source/Core/AsyncIo/EventLoop.cpp
@@ -47,6 +47,8 @@
 
 void event_loop::run()
 {
+  // A loop that was stopped may run again.
+  m_state->context.restart();
   const auto guard = boost::asio::make_work_guard(m_state->context);
   m_state->context.run();
 }
