--- a/Source/Core/Rollout/PieceFetcher.cpp
+++ b/Source/Core/Rollout/PieceFetcher.cpp
@@ -145,6 +145,10 @@
         m_pieces = std::make_unique<piece_set>(std::move(*pieces));
         const auto order = fetch_order(m_environment.hosts(), m_environment.self, m_pieces->size());
         m_waiting.assign(order.begin(), order.end());
+        log_info(log_category::weights, "fetch begins",
+                 {{"version", m_version},
+                  {"pieces", m_pieces->size()},
+                  {"hosts", m_environment.hosts().size()}});
       }
       else
       {
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds longest_settling{3000};
 // An engine that is idle this long after it accepted an order will not carry it out.
 constexpr milliseconds order_lifetime{2000};
+// An engine without weights has no answers to send: pieces may use nearly the whole link.
+constexpr double idle_engine_cost = 0.78;
 // Pieces of the serving version and of the next one stay, for hosts that come later.
 constexpr std::size_t kept_versions = 2;
 
@@ -178,7 +180,8 @@
 {
   const std::uint64_t version = wanted_version();
   if (!m_report || m_model.empty() || m_piece_count == 0 || m_fetchers.contains(version) ||
-      (m_report->whole && m_report->weight_version >= version) || m_environment.origin().port == 0)
+      (m_report->whole && m_report->weight_version >= version) ||
+      m_environment.origin().port == 0 || !has_settled())
   {
     return;
   }
@@ -340,8 +343,10 @@
   {
     return;
   }
-  const auto wait = m_uplink.reserve(static_cast<double>(m_send_queue.front().bytes.size()),
-                                     std::chrono::steady_clock::now());
+  const bool serving = m_report && m_report->weight_version != 0;
+  const double cost =
+      static_cast<double>(m_send_queue.front().bytes.size()) * (serving ? 1 : idle_engine_cost);
+  const auto wait = m_uplink.reserve(cost, std::chrono::steady_clock::now());
   m_send_timer.start(wait,
                      [this]
                      {
--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -77,36 +77,36 @@
   state_follower<scripted_store> make_feed(bool follow_backends)
   {
     return state_follower<scripted_store>(m_loop, m_store,
-                                      {.on_operator_record = [this](const record& change)
-                                       { m_records[change.key] = change.value.value_or("-"); },
-                                       .on_backend_record =
-                                           [this](const record& change, bool may_have_lapsed)
-                                       {
-                                         m_records[change.key] = change.value.value_or("-");
-                                         m_lapsed = may_have_lapsed;
-                                       },
-                                       .ask_peer =
-                                           [this](auto done)
-                                       {
-                                         ++m_peer_calls;
-                                         if (m_peer)
-                                         {
-                                           done(*m_peer);
-                                         }
-                                       },
-                                       .ask_reader =
-                                           [this](record_topic, std::uint64_t, auto done)
-                                       {
-                                         if (!m_reader)
-                                         {
-                                           return false;
-                                         }
-                                         const auto answer = *m_reader;
-                                         m_reader.reset();
-                                         done(answer);
-                                         return true;
-                                       }},
-                                      follow_backends);
+                                          {.on_operator_record = [this](const record& change)
+                                           { m_records[change.key] = change.value.value_or("-"); },
+                                           .on_backend_record =
+                                               [this](const record& change, bool may_have_lapsed)
+                                           {
+                                             m_records[change.key] = change.value.value_or("-");
+                                             m_lapsed = may_have_lapsed;
+                                           },
+                                           .ask_peer =
+                                               [this](auto done)
+                                           {
+                                             ++m_peer_calls;
+                                             if (m_peer)
+                                             {
+                                               done(*m_peer);
+                                             }
+                                           },
+                                           .ask_reader =
+                                               [this](record_topic, std::uint64_t, auto done)
+                                           {
+                                             if (!m_reader)
+                                             {
+                                               return false;
+                                             }
+                                             const auto answer = *m_reader;
+                                             m_reader.reset();
+                                             done(answer);
+                                             return true;
+                                           }},
+                                          follow_backends);
   }
 
   /// Lets timers of the feed run until the store is called or `limit` has passed.
