--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -48,7 +48,9 @@
             log_info(log_category::process, "planned stop");
             m_peers.set_leaving();
             m_loop.stop();
+            return;
           }
+          log_info(log_category::process, "reload requested; settings apply at the next start");
         });
     m_feed.start();
     m_rollout.start();
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -63,7 +63,9 @@
           if (stop)
           {
             begin_stop();
+            return;
           }
+          log_info(log_category::process, "reload requested; settings apply at the next start");
         });
     m_feed.start();
     m_loop.run();
--- /dev/null
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -0,0 +1,347 @@
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "AsyncIo/HttpListener.h"
+#include "AsyncIo/HttpParser.h"
+#include "AsyncIo/TcpConnection.h"
+#include "Common/Digest.h"
+#include "Rollout/RolloutAgent.h"
+
+namespace
+{
+
+using namespace pollenyoke;
+using namespace pollenyoke::async_io;
+using namespace pollenyoke::rollout;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t piece_count = 4;
+
+std::string piece_bytes(std::uint64_t version, std::uint32_t piece)
+{
+  return "version " + std::to_string(version) + " piece " + std::to_string(piece);
+}
+
+/// A request with its body, answered by a function; an empty answer ends the connection.
+class scripted_http
+{
+public:
+  using handler = std::function<std::string(const message_head&, const std::string& body)>;
+
+  scripted_http(event_loop& loop, handler on_request)
+      : m_listener(loop, [this](tcp_connection::pointer connection) { accept(connection); }),
+        m_on_request(std::move(on_request))
+  {
+    CPPUNIT_ASSERT(m_listener.listen({"127.0.0.1", 0}));
+  }
+  transport::endpoint address() const
+  {
+    return {"127.0.0.1", m_listener.port()};
+  }
+
+private:
+  void accept(const tcp_connection::pointer& connection)
+  {
+    const auto parser = std::make_shared<http_parser>(message_kind::request, parse_limits{});
+    connection->start(
+        [this, connection, parser](std::string_view data)
+        {
+          parser->feed(data);
+          if (!parser->is_complete())
+          {
+            return;
+          }
+          const std::string answer = m_on_request(parser->head(), parser->take_body());
+          *parser = http_parser(message_kind::request, {});
+          if (answer.empty())
+          {
+            connection->close();
+            return;
+          }
+          connection->write(answer);
+        },
+        [](close_reason) {});
+  }
+
+  tcp_listener m_listener;
+  handler m_on_request;
+};
+
+/// An engine and an origin with the calls of the platform.
+class rollout_agent_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(rollout_agent_test);
+  CPPUNIT_TEST(engine_without_weights_is_loaded_from_the_origin);
+  CPPUNIT_TEST(nothing_is_fetched_before_the_hosts_are_settled);
+  CPPUNIT_TEST(spoilt_pieces_of_the_origin_are_read_again);
+  CPPUNIT_TEST(engine_is_not_ordered_to_load_spoilt_pieces);
+  CPPUNIT_TEST(lost_answer_to_an_order_does_not_order_twice);
+  CPPUNIT_TEST(restarted_engine_is_loaded_again);
+  CPPUNIT_TEST(peers_get_pieces_and_manifest);
+  CPPUNIT_TEST_SUITE_END();
+
+  event_loop m_loop;
+  timer m_timer{m_loop};
+  http_caller m_caller{m_loop};
+  std::unique_ptr<scripted_http> m_engine;
+  std::unique_ptr<scripted_http> m_origin;
+  std::unique_ptr<rollout_agent> m_agent;
+
+  std::uint64_t m_engine_version = 0;
+  std::uint64_t m_engine_started = 1;
+  std::uint64_t m_engine_orders = 0;
+  std::map<std::uint32_t, std::string> m_staged;
+  unsigned m_spoil_staged = 0;
+  unsigned m_spoil_origin = 0;
+  unsigned m_lose_orders = 0;
+  unsigned m_origin_reads = 0;
+  std::size_t m_shown_hosts = 0;
+  std::size_t m_final_hosts = 1;
+  std::size_t m_hosts_at_first_read = 0;
+  std::vector<std::map<std::uint32_t, std::string>> m_loaded;
+
+  static std::string ok(const std::string& body)
+  {
+    return make_response(200, "application/json", body, true);
+  }
+
+  std::string engine_call(const message_head& head, const std::string& body)
+  {
+    const auto path = path_of(head.target);
+    if (path == "/v1/report")
+    {
+      const std::string model = m_engine_version == 0 ? ""
+                                                      : R"({"name":"m","version":)" +
+                                                            std::to_string(m_engine_version) + "}";
+      return ok("{\"models\":[" + model +
+                "],\"busy\":false,\"sequence\":" + std::to_string(m_engine_orders) +
+                ",\"born\":" + std::to_string(m_engine_started) + "}");
+    }
+    if (path == "/v1/order")
+    {
+      m_loaded.push_back(m_staged);
+      ++m_engine_orders;
+      m_engine_version = 2;
+      if (m_lose_orders > 0)
+      {
+        --m_lose_orders;
+        return {};
+      }
+      return make_response(202, "", "", true);
+    }
+    std::uint64_t number = 0;
+    CPPUNIT_ASSERT(parse_number(query_parameter(head.target, "num"), number));
+    const auto piece = static_cast<std::uint32_t>(number);
+    if (path.starts_with("/v1/stage-put/"))
+    {
+      m_staged[piece] = body;
+      if (m_spoil_staged > 0)
+      {
+        --m_spoil_staged;
+        m_staged[piece] = "bad";
+      }
+      return ok("");
+    }
+    CPPUNIT_ASSERT(path.starts_with("/v1/stage-get/"));
+    return m_staged.contains(piece) ? ok(m_staged[piece]) : make_response(404, "", "", true);
+  }
+
+  std::string origin_call(const message_head& head, const std::string& /*body*/)
+  {
+    std::uint64_t version = 0;
+    CPPUNIT_ASSERT(parse_number(query_parameter(head.target, "version"), version));
+    if (path_of(head.target).starts_with("/v1/manifest/"))
+    {
+      std::string digests;
+      for (std::uint32_t piece = 0; piece < piece_count; ++piece)
+      {
+        digests += (piece == 0 ? "\"" : ",\"") +
+                   to_hex(sha256(std::string_view(piece_bytes(version, piece)))) + "\"";
+      }
+      return ok(R"({"model":"m","version":)" + std::to_string(version) +
+                R"(,"chunk_bytes":100,"digests":[)" + digests + "]}");
+    }
+    m_hosts_at_first_read = m_origin_reads == 0 ? m_shown_hosts : m_hosts_at_first_read;
+    ++m_origin_reads;
+    std::uint64_t number = 0;
+    CPPUNIT_ASSERT(parse_number(query_parameter(head.target, "num"), number));
+    if (m_spoil_origin > 0)
+    {
+      --m_spoil_origin;
+      return ok("spoilt");
+    }
+    return ok(piece_bytes(version, static_cast<std::uint32_t>(number)));
+  }
+
+  void run_until(const std::function<bool()>& condition)
+  {
+    const auto give_up = std::chrono::steady_clock::now() + seconds(60);
+    std::function<void()> check = [&]
+    {
+      if (condition() || std::chrono::steady_clock::now() > give_up)
+      {
+        m_loop.stop();
+        return;
+      }
+      m_timer.start(milliseconds(5), check);
+    };
+    m_timer.start(milliseconds(0), check);
+    m_loop.run();
+    CPPUNIT_ASSERT(condition());
+  }
+
+  std::vector<plan_host> next_hosts()
+  {
+    m_shown_hosts = std::min(m_shown_hosts + 1, m_final_hosts);
+    std::vector<plan_host> hosts = {{"127.0.0.1", "east"}};
+    for (std::size_t i = 1; i < m_shown_hosts; ++i)
+    {
+      hosts.push_back({"127.0.0.1" + std::to_string(i), "region " + std::to_string(i)});
+    }
+    return hosts;
+  }
+
+  bool serves_version_2() const
+  {
+    return m_engine_version == 2;
+  }
+
+  /// Each load was given exactly the pieces of version 2.
+  void check_loads() const
+  {
+    for (const auto& loaded : m_loaded)
+    {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{piece_count}, loaded.size());
+      for (const auto& [piece, bytes] : loaded)
+      {
+        CPPUNIT_ASSERT_EQUAL(piece_bytes(2, piece), bytes);
+      }
+    }
+  }
+
+public:
+  void setUp() override
+  {
+    m_engine = std::make_unique<scripted_http>(
+        m_loop, [this](const message_head& head, const std::string& body)
+        { return engine_call(head, body); });
+    m_origin = std::make_unique<scripted_http>(
+        m_loop, [this](const message_head& head, const std::string& body)
+        { return origin_call(head, body); });
+    m_agent = std::make_unique<rollout_agent>(
+        fetch_environment{.loop = m_loop,
+                          .caller = m_caller,
+                          .self = "127.0.0.1",
+                          .peer_port = 1,
+                          .hosts = [this] { return next_hosts(); },
+                          .origin =
+                              [this]
+                          {
+                            return m_origin->address();
+                          }},
+        m_engine->address(),
+        rollout_handlers{[](const protocol::engine_report&, bool, std::optional<milliseconds>) {
+        }});
+    m_agent->set_model("m", piece_count);
+    m_agent->name_version({"m", 2});
+  }
+
+  void engine_without_weights_is_loaded_from_the_origin()
+  {
+    m_agent->start();
+    run_until([this] { return serves_version_2(); });
+    CPPUNIT_ASSERT_EQUAL(piece_count, m_origin_reads);
+    check_loads();
+  }
+
+  /// Guards against a fleet that starts together and reads a copy per host from the origin.
+  void nothing_is_fetched_before_the_hosts_are_settled()
+  {
+    // Every look at the hosts shows one more, eight times.
+    m_final_hosts = 8;
+    m_agent->start();
+    run_until([this] { return m_origin_reads > 0; });
+    CPPUNIT_ASSERT_EQUAL(m_final_hosts, m_hosts_at_first_read);
+  }
+
+  void spoilt_pieces_of_the_origin_are_read_again()
+  {
+    m_spoil_origin = 2;
+    m_agent->start();
+    run_until([this] { return serves_version_2(); });
+    CPPUNIT_ASSERT_EQUAL(piece_count + 2, m_origin_reads);
+    check_loads();
+  }
+
+  /// Guards against tokens made with pieces that turned bad after they were staged.
+  void engine_is_not_ordered_to_load_spoilt_pieces()
+  {
+    m_spoil_staged = 1;
+    m_agent->start();
+    run_until([this] { return serves_version_2(); });
+    check_loads();
+  }
+
+  void lost_answer_to_an_order_does_not_order_twice()
+  {
+    m_lose_orders = 1;
+    m_agent->start();
+    run_until([this] { return serves_version_2(); });
+    const auto end = std::chrono::steady_clock::now() + milliseconds(1500);
+    run_until([end] { return std::chrono::steady_clock::now() > end; });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_engine_orders);
+  }
+
+  void restarted_engine_is_loaded_again()
+  {
+    m_agent->start();
+    run_until([this] { return serves_version_2(); });
+    m_engine_started = 2;
+    m_engine_orders = 0;
+    m_engine_version = 0;
+    m_staged.clear();
+    run_until([this] { return serves_version_2(); });
+    CPPUNIT_ASSERT_EQUAL(piece_count, m_origin_reads);
+    check_loads();
+  }
+
+  void peers_get_pieces_and_manifest()
+  {
+    http_listener peer_calls(
+        m_loop,
+        [this](const message_head& head, const http_listener::responder& respond)
+        {
+          if (path_of(head.target) == "/manifest")
+          {
+            m_agent->serve_manifest(head, respond);
+            return;
+          }
+          m_agent->serve_piece(head, respond);
+        });
+    CPPUNIT_ASSERT(peer_calls.listen({"127.0.0.1", 0}));
+    const transport::endpoint address{"127.0.0.1", peer_calls.port()};
+    std::string piece;
+    // Asked before the piece is there: the answer waits for it.
+    m_caller.call(peer_piece_call(address, "m", 2, 3), [&](const result<http_response>& answer)
+                  { piece = answer ? answer->body : "failed"; });
+    m_agent->start();
+    run_until([&] { return !piece.empty(); });
+    CPPUNIT_ASSERT_EQUAL(piece_bytes(2, 3), piece);
+    unsigned manifest = 0;
+    m_caller.call(peer_manifest_call(address, "m", 2), [&](const result<http_response>& answer)
+                  { manifest = answer ? answer->head.status : 1; });
+    run_until([&] { return manifest != 0; });
+    CPPUNIT_ASSERT_EQUAL(200U, manifest);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(rollout_agent_test, "Rollout.Agent");
+
+} // namespace
