--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -120,10 +120,17 @@
 
   rollout::rollout_handlers make_rollout_handlers()
   {
-    return {.on_report = [this](const protocol::engine_report& report, bool loading,
-                                std::optional<std::chrono::milliseconds> load_in)
+    return {.on_report =
+                [this](const protocol::engine_report& report, bool loading,
+                       std::optional<std::chrono::milliseconds> load_in)
             {
+              m_peers.set_has_engine(true);
               send_load(report, loading, load_in);
+            },
+            .on_engine_lost =
+                [this]
+            {
+              m_peers.set_has_engine(false);
             }};
   }
 
@@ -132,7 +139,10 @@
     std::vector<rollout::plan_host> hosts;
     for (const auto& peer : m_peers.live(peers::peer_role::agent))
     {
-      hosts.push_back({peer.ip, m_peers.region_of(peer)});
+      if (peer.has_engine)
+      {
+        hosts.push_back({peer.ip, m_peers.region_of(peer)});
+      }
     }
     return hosts;
   }
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -114,6 +114,14 @@
   }
 }
 
+void peer_service::set_has_engine(bool has_engine)
+{
+  if (m_table.set_has_engine(has_engine))
+  {
+    send_gossip();
+  }
+}
+
 void peer_service::receive(std::string_view datagram, const transport::endpoint& from)
 {
   const auto message = peers::decode_message(datagram);
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -45,6 +45,7 @@
 
   result<void> start();
   void set_leaving();
+  void set_has_engine(bool has_engine);
   void send_load(const peers::load_message& load);
   void send_notice(const std::string& agent_ip, const peers::send_notice& notice);
   std::vector<peers::peer_record> live(peers::peer_role role) const;
--- a/Source/Core/Peers/PeerMessages.h
+++ b/Source/Core/Peers/PeerMessages.h
@@ -26,6 +26,8 @@
   std::uint8_t domain = 0;
   /// Planned stop: takes no new work.
   bool leaving = false;
+  /// Agents: the engine answers. Without one an agent takes no part in roll-outs.
+  bool has_engine = false;
   std::uint64_t incarnation = 0;
   std::uint32_t heartbeat = 0;
 
@@ -34,7 +36,7 @@
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(ip, role, domain, leaving, incarnation, heartbeat);
+    archive(ip, role, domain, leaving, has_engine, incarnation, heartbeat);
   }
 };
 
--- a/Source/Core/Peers/PeerTable.cpp
+++ b/Source/Core/Peers/PeerTable.cpp
@@ -26,6 +26,17 @@
   ++m_self.heartbeat;
 }
 
+bool peer_table::set_has_engine(bool has_engine)
+{
+  if (m_self.has_engine == has_engine)
+  {
+    return false;
+  }
+  m_self.has_engine = has_engine;
+  ++m_self.heartbeat;
+  return true;
+}
+
 void peer_table::add_candidate(const std::string& ip)
 {
   if (ip != m_self.ip && !m_peers.contains(ip))
--- a/Source/Core/Peers/PeerTable.h
+++ b/Source/Core/Peers/PeerTable.h
@@ -36,6 +36,8 @@
   /// Counts a round of this process.
   void beat();
   void set_leaving();
+  /// True if this changes what others are told.
+  bool set_has_engine(bool has_engine);
   void merge(const gossip_message& message, time_point now);
   /// Adds a process that another source names; it counts as live only once it is heard of.
   void add_candidate(const std::string& ip);
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -17,6 +17,8 @@
 // The engine's report costs nothing on its own host; entries choose by it.
 constexpr milliseconds poll_interval{100};
 constexpr milliseconds poll_timeout{500};
+// Reports in a row that fail before the engine counts as lost: half a second.
+constexpr unsigned lost_after_polls = 5;
 // A peer asks another source when the piece has not arrived here in this time.
 constexpr milliseconds peer_wait{2500};
 constexpr std::size_t max_waiting_peers = 2048;
@@ -94,8 +96,10 @@
   m_poll_timer.start(poll_interval, [this] { poll_engine(); });
   if (!answer || answer->head.status != 200)
   {
-    if (++m_failed_polls == 5)
+    if (++m_failed_polls == lost_after_polls)
     {
+      m_report.reset();
+      m_handlers.on_engine_lost();
       log_warning(log_category::weights, "engine does not report",
                   {{"reason", answer ? "status " + std::to_string(answer->head.status)
                                      : answer.error().message}});
@@ -302,7 +306,8 @@
     return;
   }
   auto& waiting = m_waiting_peers[version];
-  const bool may_come = fetcher != m_fetchers.end() || version >= wanted_version();
+  const bool will_fetch = m_report && version >= wanted_version();
+  const bool may_come = fetcher != m_fetchers.end() || will_fetch;
   if (!may_come || waiting.size() >= max_waiting_peers)
   {
     respond({.status = 404});
@@ -472,6 +477,11 @@
 
 void rollout_agent::order()
 {
+  if (!m_report)
+  {
+    load_failed("engine does not report");
+    return;
+  }
   m_environment.caller.call(
       platform::start_call(m_engine, m_model, m_loading_version, m_report->orders),
       [this](const result<async_io::http_response>& answer)
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -26,6 +26,8 @@
   std::function<void(const protocol::engine_report&, bool loading,
                      std::optional<std::chrono::milliseconds> load_in)>
       on_report;
+  /// The engine has not answered for a while.
+  std::function<void()> on_engine_lost;
 };
 
 /// Brings the engine of this host to the newest named version of its weights and hands pieces to
--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(engine_is_not_ordered_to_load_spoilt_pieces);
   CPPUNIT_TEST(lost_answer_to_an_order_does_not_order_twice);
   CPPUNIT_TEST(restarted_engine_is_loaded_again);
+  CPPUNIT_TEST(agent_without_engine_takes_no_part);
   CPPUNIT_TEST(peers_get_pieces_and_manifest);
   CPPUNIT_TEST_SUITE_END();
 
@@ -101,6 +102,7 @@
   unsigned m_spoil_staged = 0;
   unsigned m_spoil_origin = 0;
   unsigned m_lose_orders = 0;
+  bool m_engine_lost = false;
   unsigned m_origin_reads = 0;
   std::size_t m_shown_hosts = 0;
   std::size_t m_final_hosts = 1;
@@ -312,6 +314,15 @@
     check_loads();
   }
 
+  /// Guards against hosts that wait for pieces of an agent whose engine has gone.
+  void agent_without_engine_takes_no_part()
+  {
+    m_agent->start();
+    run_until([this] { return serves_version_2(); });
+    m_engine.reset();
+    run_until([this] { return m_engine_lost; });
+  }
+
   void peers_get_pieces_and_manifest()
   {
     http_listener peer_calls(
