--- a/Source/Core/AsyncIo/HttpListener.cpp
+++ b/Source/Core/AsyncIo/HttpListener.cpp
@@ -84,11 +84,11 @@
     restart_idle();
     const message_head head = parser.head();
     const bool keep = parser.keep_alive();
-    owner->handler(head, [self = shared_from_this(), keep](simple_answer answer)
-                   { self->respond(std::move(answer), keep); });
+    owner->handler(head, [self = shared_from_this(), keep](const simple_answer& answer)
+                   { self->respond(answer, keep); });
   }
 
-  void respond(simple_answer answer, bool keep)
+  void respond(const simple_answer& answer, bool keep)
   {
     if (!answering)
     {
--- a/Source/Core/Gateway/BackendAttempt.cpp
+++ b/Source/Core/Gateway/BackendAttempt.cpp
@@ -249,7 +249,7 @@
   }
 }
 
-void backend_attempt::end(attempt_result result)
+void backend_attempt::end(const attempt_result& result)
 {
   if (m_ended)
   {
--- a/Source/Core/Gateway/BackendAttempt.h
+++ b/Source/Core/Gateway/BackendAttempt.h
@@ -69,7 +69,7 @@
   void next_message();
   void connection_ended(async_io::close_reason reason);
   void complete();
-  void end(attempt_result result);
+  void end(const attempt_result& result);
 
   async_io::event_loop& m_loop;
   async_io::idle_pool& m_pool;
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -150,7 +150,7 @@
       m_context.loop, m_context.pool, std::move(request),
       backend_attempt::handlers{
           .on_head = [self](const async_io::message_head& head) { self->take_head(head); },
-          .on_body = [self](std::string data) { self->take_body(std::move(data)); },
+          .on_body = [self](const std::string& data) { self->take_body(data); },
           .on_end =
               [self](const attempt_result& result)
           {
@@ -209,7 +209,7 @@
   restart_silence_timer();
 }
 
-void request_exchange::take_body(std::string data)
+void request_exchange::take_body(const std::string& data)
 {
   restart_silence_timer();
   if (!m_relaying)
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -65,7 +65,7 @@
   void send_to(const backend_choice& choice);
   std::string write_request(const backend_choice& choice) const;
   void take_head(const async_io::message_head& head);
-  void take_body(std::string data);
+  void take_body(const std::string& data);
   void attempt_ended(const attempt_result& result);
   void answer_complete();
   void flush_stream_head();
--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -35,6 +35,18 @@
     CPPUNIT_ASSERT(m_listener.listen({"127.0.0.1", 0}));
   }
 
+  ~scripted_server()
+  {
+    for (const auto& open : m_open)
+    {
+      open->connection->close();
+    }
+  }
+  scripted_server(const scripted_server&) = delete;
+  scripted_server& operator=(const scripted_server&) = delete;
+  scripted_server(scripted_server&&) = delete;
+  scripted_server& operator=(scripted_server&&) = delete;
+
   std::uint16_t port() const
   {
     return m_listener.port();
--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -41,6 +41,18 @@
   {
     CPPUNIT_ASSERT(m_listener.listen({"127.0.0.1", 0}));
   }
+  ~scripted_http()
+  {
+    for (const auto& connection : m_connections)
+    {
+      connection->close();
+    }
+  }
+  scripted_http(const scripted_http&) = delete;
+  scripted_http& operator=(const scripted_http&) = delete;
+  scripted_http(scripted_http&&) = delete;
+  scripted_http& operator=(scripted_http&&) = delete;
+
   transport::endpoint address() const
   {
     return {"127.0.0.1", m_listener.port()};
@@ -50,6 +62,7 @@
   void accept(const tcp_connection::pointer& connection)
   {
     const auto parser = std::make_shared<http_parser>(message_kind::request, parse_limits{});
+    m_connections.push_back(connection);
     connection->start(
         [this, connection, parser](std::string_view data)
         {
@@ -72,6 +85,7 @@
 
   tcp_listener m_listener;
   handler m_on_request;
+  std::vector<tcp_connection::pointer> m_connections;
 };
 
 /// An engine and an origin with the calls of the platform.
@@ -249,8 +263,11 @@
                             return m_origin->address();
                           }},
         m_engine->address(),
-        rollout_handlers{[](const protocol::engine_report&, bool, std::optional<milliseconds>) {
-        }});
+        rollout_handlers{[](const protocol::engine_report&, bool, std::optional<milliseconds>) {},
+                         [this]
+                         {
+                           m_engine_lost = true;
+                         }});
     m_agent->set_model("m", piece_count);
     m_agent->name_version({"m", 2});
   }
@@ -338,11 +355,14 @@
         });
     CPPUNIT_ASSERT(peer_calls.listen({"127.0.0.1", 0}));
     const transport::endpoint address{"127.0.0.1", peer_calls.port()};
+    m_spoil_origin = 1'000'000;
+    m_agent->start();
+    run_until([&] { return m_origin_reads > 0; });
     std::string piece;
     // Asked before the piece is there: the answer waits for it.
     m_caller.call(peer_piece_call(address, "m", 2, 3), [&](const result<http_response>& answer)
                   { piece = answer ? answer->body : "failed"; });
-    m_agent->start();
+    m_spoil_origin = 0;
     run_until([&] { return !piece.empty(); });
     CPPUNIT_ASSERT_EQUAL(piece_bytes(2, 3), piece);
     unsigned manifest = 0;
