--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -30,7 +30,7 @@
   };
 
   explicit scripted_server(event_loop& loop)
-      : m_listener(loop, [this](tcp_connection::pointer connection) { accept(connection); })
+      : m_listener(loop, [this](const tcp_connection::pointer& connection) { accept(connection); })
   {
     CPPUNIT_ASSERT(m_listener.listen({"127.0.0.1", 0}));
   }
--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -36,7 +36,7 @@
   using handler = std::function<std::string(const message_head&, const std::string& body)>;
 
   scripted_http(event_loop& loop, handler on_request)
-      : m_listener(loop, [this](tcp_connection::pointer connection) { accept(connection); }),
+      : m_listener(loop, [this](const tcp_connection::pointer& connection) { accept(connection); }),
         m_on_request(std::move(on_request))
   {
     CPPUNIT_ASSERT(m_listener.listen({"127.0.0.1", 0}));
