--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(failed_store_is_replaced_by_a_peer);
   CPPUNIT_TEST(reader_of_the_domain_is_asked_first);
   CPPUNIT_TEST(reader_without_answer_is_passed_over);
+  CPPUNIT_TEST(reader_with_old_state_is_passed_over);
   CPPUNIT_TEST(peer_that_is_ahead_ends_a_silent_read);
   CPPUNIT_TEST(short_outage_lets_no_record_lapse);
   CPPUNIT_TEST_SUITE_END();
@@ -200,6 +201,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("read op 0"), m_store.next_call());
   }
 
+  /// Guards against a revoked key that stays in force where the reader of the domain is cut off
+  /// from the store but not from its domain.
+  void reader_with_old_state_is_passed_over()
+  {
+    auto feed = make_feed(false);
+    feed.start();
+    m_store.answer(page({}, 0));
+    m_reader = relay_page{false, page({}, 0), 5000};
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 0"), m_store.next_call());
+    m_store.answer(page({}, 0));
+    // The next calls go to the store as well, although the reader would answer.
+    m_reader = relay_page{false, page({}, 0), 0};
+    run_until_call();
+    CPPUNIT_ASSERT(m_reader.has_value());
+  }
+
   void peer_that_is_ahead_ends_a_silent_read()
   {
     auto feed = make_feed(false);
