--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -4,6 +4,7 @@
 
 #include "Common/Log.h"
 #include "Common/Metrics.h"
+#include "Node/OperatorRecords.h"
 #include "Node/PeerService.h"
 #include "Rollout/ReadBacklog.h"
 #include "Rollout/RolloutAgent.h"
@@ -149,15 +150,9 @@
 
   void take_operator_record(const state_feed::record& change)
   {
-    if (!change.value)
-    {
-      return;
-    }
-    auto record = platform::decode_operator_record(change.key, *change.value);
+    auto record = read_operator_record(change);
     if (!record)
     {
-      log_warning(log_category::log, "record of the operator cannot be read",
-                  {{"key", change.key}, {"reason", record.error().message}});
       return;
     }
     if (const auto* config = std::get_if<protocol::serving_config>(&*record))
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -5,6 +5,7 @@
 
 #include "Common/Log.h"
 #include "Gateway/Gateway.h"
+#include "Node/OperatorRecords.h"
 #include "Node/PeerService.h"
 #include "StateFeed/StateFollower.h"
 #include "platform/Decode.h"
@@ -107,15 +108,9 @@
 
   void take_operator_record(const state_feed::record& change)
   {
-    if (!change.value)
-    {
-      return;
-    }
-    auto record = platform::decode_operator_record(change.key, *change.value);
+    auto record = read_operator_record(change);
     if (!record)
     {
-      log_warning(log_category::log, "record of the operator cannot be read",
-                  {{"key", change.key}, {"reason", record.error().message}});
       return;
     }
     if (auto* config = std::get_if<protocol::serving_config>(&*record))
