--- a/Source/Core/AsyncIo/HttpCaller.cpp
+++ b/Source/Core/AsyncIo/HttpCaller.cpp
@@ -1,6 +1,7 @@
 #include "AsyncIo/HttpCaller.h"
 
 #include <algorithm>
+#include <set>
 
 #include "AsyncIo/HttpParser.h"
 #include "AsyncIo/IdlePool.h"
@@ -35,16 +36,21 @@
 
 } // namespace
 
+struct http_caller::state
+{
+  idle_pool pool{max_idle_per_address};
+  std::set<std::shared_ptr<exchange>> in_progress;
+};
+
 struct http_caller::exchange : std::enable_shared_from_this<exchange>
 {
-  exchange(event_loop& loop, std::shared_ptr<idle_pool> connections, http_call what,
-           handler callback)
-      : owner(std::move(connections)), call(std::move(what)), done(std::move(callback)),
-        deadline(loop), parser(message_kind::response, response_limits)
+  exchange(event_loop& loop, std::shared_ptr<state> caller, http_call what, handler callback)
+      : owner(std::move(caller)), call(std::move(what)), done(std::move(callback)), deadline(loop),
+        parser(message_kind::response, response_limits)
   {
   }
 
-  std::shared_ptr<idle_pool> owner;
+  std::shared_ptr<state> owner;
   http_call call;
   handler done;
   timer deadline;
@@ -55,7 +61,7 @@
   {
     deadline.start(call.timeout, [self = shared_from_this()]
                    { self->finish(fail(error_code::timeout, "no answer in time")); });
-    connection = owner->take(call.address);
+    connection = owner->pool.take(call.address);
     if (connection)
     {
       send();
@@ -114,7 +120,7 @@
   {
     if (reusable)
     {
-      owner->put(call.address, connection, idle_lifetime);
+      owner->pool.put(call.address, connection, idle_lifetime);
       connection = nullptr;
     }
     finish(http_response{parser.head(), parser.take_body()});
@@ -127,6 +133,14 @@
       return;
     }
     const handler report = std::move(done);
+    release();
+    report(std::move(outcome));
+  }
+
+  /// Lets go of all that refers to this exchange. The timer and the connection hold it.
+  void release()
+  {
+    const auto self = shared_from_this();
     done = nullptr;
     deadline.cancel();
     if (connection)
@@ -134,20 +148,27 @@
       connection->close();
       connection = nullptr;
     }
-    report(std::move(outcome));
+    owner->in_progress.erase(self);
   }
 };
 
-http_caller::http_caller(event_loop& loop)
-    : m_loop(loop), m_pool(std::make_shared<idle_pool>(max_idle_per_address))
+http_caller::http_caller(event_loop& loop) : m_loop(loop), m_state(std::make_shared<state>()) {}
+
+http_caller::~http_caller()
 {
+  const auto in_progress = std::move(m_state->in_progress);
+  m_state->in_progress.clear();
+  for (const auto& call : in_progress)
+  {
+    call->release();
+  }
 }
 
-http_caller::~http_caller() = default;
-
 void http_caller::call(http_call call, handler done)
 {
-  std::make_shared<exchange>(m_loop, m_pool, std::move(call), std::move(done))->begin(m_loop);
+  const auto next = std::make_shared<exchange>(m_loop, m_state, std::move(call), std::move(done));
+  m_state->in_progress.insert(next);
+  next->begin(m_loop);
 }
 
 } // namespace pollenyoke::async_io
--- a/Source/Core/AsyncIo/HttpCaller.h
+++ b/Source/Core/AsyncIo/HttpCaller.h
@@ -11,8 +11,6 @@
 namespace pollenyoke::async_io
 {
 
-class idle_pool;
-
 struct http_call
 {
   transport::endpoint address;
@@ -25,7 +23,8 @@
 };
 
 /// Calls servers and keeps idle connections for later calls. A call is never repeated. Error codes:
-/// `unavailable`: nothing was sent; `timeout`, `closed`: the call may have been executed.
+/// `unavailable`: nothing was sent; `timeout`, `closed`: the call may have been executed. Calls in
+/// progress end without their handler being called when the caller is destroyed.
 class http_caller
 {
 public:
@@ -41,10 +40,11 @@
   void call(http_call call, handler done);
 
 private:
+  struct state;
   struct exchange;
 
   event_loop& m_loop;
-  std::shared_ptr<idle_pool> m_pool;
+  std::shared_ptr<state> m_state;
 };
 
 } // namespace pollenyoke::async_io
--- a/Source/UnitTests/AsyncIo/TcpConnectionTest.cpp
+++ b/Source/UnitTests/AsyncIo/TcpConnectionTest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(refused_connection_is_reported);
   CPPUNIT_TEST(call_is_answered_on_a_kept_connection);
   CPPUNIT_TEST(call_without_answer_times_out);
+  CPPUNIT_TEST(call_in_progress_ends_with_its_caller);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop m_loop;
@@ -135,6 +136,32 @@
     CPPUNIT_ASSERT_EQUAL(3, answers);
   }
 
+  /// Guards against calls that keep themselves alive through their own timer and connection.
+  void call_in_progress_ends_with_its_caller()
+  {
+    tcp_connection::pointer accepted;
+    tcp_listener listener(m_loop,
+                          [&](tcp_connection::pointer connection)
+                          {
+                            accepted = std::move(connection);
+                            m_loop.stop();
+                          });
+    CPPUNIT_ASSERT(listener.listen(any_port));
+    auto held = std::make_shared<int>(0);
+    const std::weak_ptr<int> observer = held;
+    {
+      http_caller caller(m_loop);
+      caller.call({.address = {"127.0.0.1", listener.port()}, .target = "/x"},
+                  [held = std::move(held)](const result<http_response>&)
+                  { CPPUNIT_FAIL("the caller is gone"); });
+      run();
+    }
+    m_loop.post([this] { m_loop.stop(); });
+    run();
+    accepted->close();
+    CPPUNIT_ASSERT(observer.expired());
+  }
+
   /// Guards against a caller that waits for ever on a silent connection.
   void call_without_answer_times_out()
   {
