Rollout: hosts read pieces by what the others announce that they hold

Version 3 was named half a second before the origin went dark for 6 s, and was complete nowhere when all processes were killed 8 s after its return: each host's eight reads waited at peers that had nothing, and reads of the origin waited behind these reads. Change: agents announce which pieces they hold or read, in datagrams while they lack some; piece_schedule (pure) reads rarest pieces first, from the region, brings a piece in once per region and reads it from the origin once, with the next host in order taking over after 0.6 and 0.9 s. Reads of peers and of the origin no longer wait for each other. A sender with two pieces waiting answers busy. Pieces use 0.9 of the link (was 0.75), one at a time. Tests: Rollout.PieceSchedule plays swarms in virtual time: 1.5 of the bound, 1.1 copies, lost announcements, an origin dark for six seconds, silent hosts, a late host. The cases of choose_source and fetch_order are replaced by cases of the plan's ranks and by these, as those functions are gone; a peer no longer waits for a piece, so the agent's case asks for what was announced, and that nothing is announced before it is held.

--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -19,9 +19,9 @@
 namespace
 {
 
-// Part of the host's link for pieces. The engine's answers use the same link: an event that waits
-// behind pieces for more than a tenth of a second reaches its caller late.
-constexpr double piece_link_share = 0.75;
+// Part of the host's link for pieces. The engine's answers use the same link, about a twentieth of
+// it; pieces are sent one at a time, so that an event waits 42 ms at most.
+constexpr double piece_link_share = 0.9;
 
 class agent_node
 {
@@ -69,6 +69,8 @@
             .on_load = [](const peers::load_message&) {},
             .on_send_notice = [this](const peers::send_notice& notice)
             { m_backlog.add(notice.prompt_tokens, std::chrono::steady_clock::now()); },
+            .on_announcement = [this](const std::string& ip, const peers::piece_announcement& news)
+            { m_rollout.take_announcement(ip, news); },
             .snapshot = [this] { return m_feed.snapshot(); },
             .serve_changes = [this](state_feed::record_topic topic, std::uint64_t offset,
                                     const std::string& left_out,
@@ -113,10 +115,11 @@
             .peer_port = m_settings.peer_port,
             .uplink_bytes_per_s = m_settings.link_mbit_per_s * 1e6 / 8 * piece_link_share,
             .hosts = [this] { return plan_hosts(); },
-            .origin =
-                [this]
+            .origin = [this] { return m_origin; },
+            .announce =
+                [this](const std::string& ip, const peers::piece_announcement& news)
             {
-              return m_origin;
+              m_peers.send_announcement(ip, news);
             }};
   }
 
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -83,6 +83,7 @@
             { m_gateway.take_version_ages(ages); },
             .on_load = [this](const peers::load_message& load) { m_gateway.take_load(load); },
             .on_send_notice = [](const peers::send_notice&) {},
+            .on_announcement = [](const std::string&, const peers::piece_announcement&) {},
             .snapshot = [this] { return m_feed.snapshot(); },
             .serve_changes = [this](state_feed::record_topic topic, std::uint64_t offset,
                                     const std::string& left_out,
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -146,6 +146,11 @@
   if (const auto* notice = std::get_if<peers::send_notice>(&*message))
   {
     m_handlers.on_send_notice(*notice);
+    return;
+  }
+  if (const auto* news = std::get_if<peers::piece_announcement>(&*message))
+  {
+    m_handlers.on_announcement(from.ip, *news);
   }
 }
 
@@ -163,6 +168,12 @@
   m_udp.send(peers::encode_message(notice), {agent_ip, m_settings.peer_port});
 }
 
+void peer_service::send_announcement(const std::string& agent_ip,
+                                     const peers::piece_announcement& news)
+{
+  m_udp.send(peers::encode_message(news), {agent_ip, m_settings.peer_port});
+}
+
 std::vector<peers::peer_record> peer_service::live(peers::peer_role role) const
 {
   return m_table.live(role, std::chrono::steady_clock::now());
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -24,6 +24,7 @@
   std::function<void(const std::vector<peers::version_age>&)> on_version_ages;
   std::function<void(const peers::load_message&)> on_load;
   std::function<void(const peers::send_notice&)> on_send_notice;
+  std::function<void(const std::string& ip, const peers::piece_announcement&)> on_announcement;
   std::function<state_feed::peer_snapshot()> snapshot;
   std::function<void(state_feed::record_topic, std::uint64_t offset, const std::string& left_out,
                      std::function<void(std::string)>)>
@@ -48,6 +49,7 @@
   void set_has_engine(bool has_engine);
   void send_load(const peers::load_message& load);
   void send_notice(const std::string& agent_ip, const peers::send_notice& notice);
+  void send_announcement(const std::string& agent_ip, const peers::piece_announcement& news);
   std::vector<peers::peer_record> live(peers::peer_role role) const;
   /// Entries that may be running, this host included: live ones and hosts not heard of yet.
   std::size_t possible_entries() const;
--- a/Source/Core/Peers/PeerMessages.h
+++ b/Source/Core/Peers/PeerMessages.h
@@ -107,7 +107,31 @@
   }
 };
 
-using peer_message = std::variant<gossip_message, load_message, send_notice>;
+enum class piece_state : std::uint8_t
+{
+  absent,
+  /// Being read.
+  reading,
+  held,
+};
+
+/// Which pieces of a version an agent has, to the other agents.
+struct piece_announcement
+{
+  std::string model;
+  std::uint64_t version = 0;
+  std::vector<piece_state> states;
+  /// The sender lacks pieces and wants to know what the receiver has.
+  bool wants_answer = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(model, version, states, wants_answer);
+  }
+};
+
+using peer_message = std::variant<gossip_message, load_message, send_notice, piece_announcement>;
 
 std::string encode_message(const peer_message& message);
 result<peer_message> decode_message(std::string_view datagram);
--- a/Source/Core/Rollout/PieceFetcher.cpp
+++ b/Source/Core/Rollout/PieceFetcher.cpp
@@ -1,6 +1,6 @@
 #include "Rollout/PieceFetcher.h"
 
-#include <algorithm>
+#include <random>
 
 #include "Common/Log.h"
 #include "platform/Decode.h"
@@ -14,19 +14,18 @@
 
 using std::chrono::milliseconds;
 
-// Pieces that are on their way at the same time. A link narrowed to 1.2 Mbit/s sends eight in 2.6
-// s; more would hold up requests for the engine behind them until their callers have left.
-constexpr unsigned max_in_flight = 8;
-// The origin's link of 15 Mbit/s sends one piece of 49 KB in 26 ms. Reads begin at this pace, so
-// that the first pieces spread while the others are read.
-constexpr milliseconds origin_pace{24};
-// A peer waits up to 2.5 s for the piece and has up to 2.5 s of other pieces before it in its
-// queue. Asking another source earlier would have the piece sent twice.
-constexpr milliseconds piece_timeout{5000};
+// A peer has up to three pieces before this one in its queue: 0.2 s on a free link, 1.3 s on one
+// narrowed to 1.2 Mbit/s.
+constexpr milliseconds piece_timeout{2500};
 // After a loss of power all hosts may read the origin at once: its link sends what they ask for in
 // some seconds, and a read that is given up has used it in vain.
 constexpr milliseconds origin_timeout{6000};
-constexpr unsigned max_origin_reads = 3;
+// Reads that become due without news of other hosts begin this late at most.
+constexpr milliseconds tick_interval{50};
+// Other hosts hear soon of a piece that they can ask for; a piece takes 42 ms on the link.
+constexpr milliseconds change_interval{40};
+// Without a change, others are reminded that this host still wants pieces.
+constexpr milliseconds reminder_interval{250};
 constexpr milliseconds manifest_timeout{1500};
 constexpr milliseconds retry_pause{150};
 // Spoilt pieces from several sources point to a spoilt manifest.
@@ -57,7 +56,8 @@
 piece_fetcher::piece_fetcher(fetch_environment environment, std::string model,
                              std::uint64_t version, std::function<void(std::uint32_t)> on_piece)
     : m_environment(std::move(environment)), m_model(std::move(model)), m_version(version),
-      m_on_piece(std::move(on_piece)), m_manifest_timer(m_environment.loop)
+      m_on_piece(std::move(on_piece)), m_tick_timer(m_environment.loop),
+      m_manifest_timer(m_environment.loop)
 {
 }
 
@@ -69,10 +69,18 @@
 void piece_fetcher::stop()
 {
   m_stopped = true;
-  m_waiting.clear();
-  m_waiting_for_origin.clear();
   m_manifest_timer.cancel();
-  m_retry_timers.clear();
+  m_tick_timer.cancel();
+}
+
+void piece_fetcher::take_announcement(const std::string& ip, const peers::piece_announcement& news)
+{
+  if (m_stopped || !m_schedule || m_pieces->is_complete())
+  {
+    return;
+  }
+  m_schedule->take_announcement(ip, news.states, std::chrono::steady_clock::now());
+  begin_reads();
 }
 
 const piece_set* piece_fetcher::pieces() const
@@ -140,26 +148,7 @@
         manifest ? piece_set::make(*manifest) : result<piece_set>(tl::unexpected(manifest.error()));
     if (pieces && pieces->version() == m_version && pieces->size() > 0)
     {
-      const bool first = m_pieces == nullptr;
-      m_manifest = answer->body;
-      if (first)
-      {
-        m_pieces = std::make_unique<piece_set>(std::move(*pieces));
-        const auto order = fetch_order(m_environment.hosts(), m_environment.self, m_pieces->size());
-        for (const std::uint32_t piece : order)
-        {
-          m_waiting.emplace_back(piece, 0);
-        }
-        log_info(log_category::weights, "fetch begins",
-                 {{"version", m_version},
-                  {"pieces", m_pieces->size()},
-                  {"hosts", m_environment.hosts().size()}});
-      }
-      else
-      {
-        m_pieces->replace_digests(*pieces);
-      }
-      fill();
+      adopt_manifest(std::move(*pieces), answer->body);
       return;
     }
   }
@@ -171,114 +160,144 @@
   m_manifest_timer.start(retry_pause, [self = shared_from_this()] { self->ask_manifest(); });
 }
 
-bool piece_fetcher::is_first_origin_read(std::uint32_t piece, unsigned attempt) const
+void piece_fetcher::adopt_manifest(piece_set pieces, const std::string& text)
 {
-  return attempt == 0 && choose_source(m_environment.hosts(), m_environment.self, piece, 0).origin;
+  m_manifest = text;
+  if (m_pieces)
+  {
+    m_pieces->replace_digests(pieces);
+    for (std::uint32_t piece = 0; piece < m_pieces->size(); ++piece)
+    {
+      if (m_pieces->get(piece) == nullptr)
+      {
+        m_schedule->drop(piece);
+      }
+    }
+    return;
+  }
+  m_pieces = std::make_unique<piece_set>(std::move(pieces));
+  m_schedule = std::make_unique<piece_schedule>(m_pieces->size(), std::random_device{}(),
+                                                std::chrono::steady_clock::now());
+  log_info(log_category::weights, "fetch begins",
+           {{"version", m_version},
+            {"pieces", m_pieces->size()},
+            {"hosts", m_environment.hosts().size()}});
+  tick();
 }
 
-void piece_fetcher::fill()
+void piece_fetcher::tick()
 {
-  while (!m_stopped && m_in_flight < max_in_flight && !m_waiting.empty())
+  if (m_stopped || m_pieces->is_complete())
   {
-    const auto [piece, attempt] = m_waiting.front();
-    m_waiting.pop_front();
-    if (is_first_origin_read(piece, attempt) && piece > 0)
-    {
-      fetch_after(origin_pace * piece, piece, 0);
-      continue;
-    }
-    fetch(piece, attempt);
+    return;
+  }
+  auto hosts = m_environment.hosts();
+  if (hosts != m_hosts)
+  {
+    m_hosts = std::move(hosts);
+    m_schedule->set_plan(piece_plan(m_hosts, m_environment.self));
+  }
+  begin_reads();
+  m_tick_timer.start(tick_interval, [self = shared_from_this()] { self->tick(); });
+}
+
+void piece_fetcher::begin_reads()
+{
+  for (const piece_read& read : m_schedule->begin_reads(std::chrono::steady_clock::now()))
+  {
+    fetch(read);
   }
+  announce_if_due();
 }
 
-void piece_fetcher::fetch(std::uint32_t piece, unsigned attempt)
+void piece_fetcher::announce_if_due()
 {
-  if (m_stopped || m_pieces->get(piece) != nullptr)
+  const auto now = std::chrono::steady_clock::now();
+  auto news = announcement();
+  const bool changed = news.states != m_announced;
+  const bool last = changed && m_pieces->is_complete();
+  if (!last && now - m_announced_at < (changed ? change_interval : reminder_interval))
   {
     return;
   }
-  const piece_source source =
-      choose_source(m_environment.hosts(), m_environment.self, piece, attempt);
+  m_announced = news.states;
+  m_announced_at = now;
+  for (const plan_host& host : m_hosts)
+  {
+    if (host.ip != m_environment.self)
+    {
+      m_environment.announce(host.ip, news);
+    }
+  }
+}
+
+peers::piece_announcement piece_fetcher::announcement() const
+{
+  return {.model = m_model,
+          .version = m_version,
+          .states = m_schedule ? m_schedule->states() : std::vector<peers::piece_state>{},
+          .wants_answer = !m_pieces || !m_pieces->is_complete()};
+}
+
+void piece_fetcher::fetch(const piece_read& read)
+{
   auto call =
-      source.origin
-          ? platform::piece_call(m_environment.origin(), m_model, m_version, piece)
-          : peer_piece_call({source.ip, m_environment.peer_port}, m_model, m_version, piece);
-  call.timeout = source.origin ? origin_timeout : piece_timeout;
-  ++m_in_flight;
-  m_environment.caller.call(std::move(call),
-                            [self = shared_from_this(), piece, attempt,
-                             origin = source.origin](const result<async_io::http_response>& answer)
-                            { self->take_piece(piece, attempt, origin, answer); });
+      read.from_origin()
+          ? platform::piece_call(m_environment.origin(), m_model, m_version, read.piece)
+          : peer_piece_call({read.peer, m_environment.peer_port}, m_model, m_version, read.piece);
+  call.timeout = read.from_origin() ? origin_timeout : piece_timeout;
+  m_environment.caller.call(std::move(call), [self = shared_from_this(),
+                                              read](const result<async_io::http_response>& answer)
+                            { self->take_piece(read, answer); });
 }
 
-void piece_fetcher::take_piece(std::uint32_t piece, unsigned attempt, bool from_origin,
+void piece_fetcher::take_piece(const piece_read& read,
                                const result<async_io::http_response>& answer)
 {
-  --m_in_flight;
-  m_origin_reads -= from_origin ? 1U : 0U;
   if (m_stopped)
   {
     return;
   }
-  if (!m_waiting_for_origin.empty() && m_origin_reads < max_origin_reads)
+  const bool known = m_pieces->get(read.piece) != nullptr;
+  const read_end end = known ? read_end::received : keep_piece(read, answer);
+  m_schedule->read_ended(read, end, std::chrono::steady_clock::now());
+  if (end == read_end::received && !known)
   {
-    // Meanwhile another host may have the piece: its source is chosen anew.
-    const auto [waiting, tries] = m_waiting_for_origin.front();
-    m_waiting_for_origin.pop_front();
-    fetch(waiting, tries);
+    ++(read.from_origin() ? m_counts.from_origin : m_counts.from_peers);
+    m_on_piece(read.piece);
   }
+  begin_reads();
+}
+
+read_end piece_fetcher::keep_piece(const piece_read& read,
+                                   const result<async_io::http_response>& answer)
+{
   if (answer && answer->head.status == 200)
   {
-    if (m_pieces->put(piece, answer->body))
+    if (m_pieces->put(read.piece, answer->body))
     {
-      ++(from_origin ? m_counts.from_origin : m_counts.from_peers);
-      m_on_piece(piece);
-      fill();
-      return;
+      return read_end::received;
     }
     log_warning(log_category::weights, "piece does not match its digest",
-                {{"version", m_version}, {"piece", piece}, {"origin", from_origin}});
-    ++m_mismatches;
-    if (m_mismatches % mismatches_per_manifest == 0)
+                {{"version", m_version}, {"piece", read.piece}, {"origin", read.from_origin()}});
+    if (++m_mismatches % mismatches_per_manifest == 0)
     {
       ask_manifest();
     }
+    return read_end::spoilt;
   }
-  ++(from_origin ? m_counts.failed_origin : m_counts.failed_peers);
+  ++(read.from_origin() ? m_counts.failed_origin : m_counts.failed_peers);
   log_debug(log_category::weights, "piece not received",
             {{"version", m_version},
-             {"piece", piece},
-             {"origin", from_origin},
-             {"attempt", attempt},
+             {"piece", read.piece},
+             {"source", read.from_origin() ? "origin" : read.peer},
              {"reason",
               answer ? "status " + std::to_string(answer->head.status) : answer.error().message}});
-  // A peer that has the piece not yet is no worse a source than others; only the second such answer
-  // moves on.
-  const bool not_yet = answer && answer->head.status == 404 && !from_origin;
-  const bool stay = not_yet && m_not_yet.insert(piece).second;
-  if (!stay)
+  if (!answer || read.from_origin())
   {
-    m_not_yet.erase(piece);
+    return read_end::failed;
   }
-  fetch_after(retry_pause, piece, stay ? attempt : attempt + 1);
-  fill();
-}
-
-void piece_fetcher::fetch_after(milliseconds pause, std::uint32_t piece, unsigned attempt)
-{
-  m_retry_timers.push_back(std::make_unique<async_io::timer>(m_environment.loop));
-  m_retry_timers.back()->start(pause,
-                               [self = shared_from_this(), piece, attempt]
-                               {
-                                 // First reads of the origin have a limit of their own.
-                                 if (self->is_first_origin_read(piece, attempt))
-                                 {
-                                   self->fetch(piece, attempt);
-                                   return;
-                                 }
-                                 self->m_waiting.emplace_front(piece, attempt);
-                                 self->fill();
-                               });
+  return answer->head.status == 503 ? read_end::busy : read_end::missing;
 }
 
 } // namespace pollenyoke::rollout
--- a/Source/Core/Rollout/PieceFetcher.h
+++ b/Source/Core/Rollout/PieceFetcher.h
@@ -1,15 +1,14 @@
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "AsyncIo/HttpCaller.h"
+#include "Peers/PeerMessages.h"
 #include "Rollout/PiecePlan.h"
+#include "Rollout/PieceSchedule.h"
 #include "Rollout/PieceSet.h"
 
 namespace pollenyoke::rollout
@@ -26,6 +25,8 @@
   double uplink_bytes_per_s = 1e6;
   std::function<std::vector<plan_host>()> hosts;
   std::function<transport::endpoint()> origin;
+  /// Sends an announcement to the agent of another host; it may be lost.
+  std::function<void(const std::string& ip, const peers::piece_announcement&)> announce;
 };
 
 /// The call with which a host asks another one for a piece.
@@ -56,42 +57,41 @@
 
   void start();
   void stop();
+  void take_announcement(const std::string& ip, const peers::piece_announcement& news);
   /// Null until the manifest is known.
   const piece_set* pieces() const;
   std::uint64_t version() const;
-  /// The manifest as the origin sent it; empty until it is known.
+  /// The manifest as it was received; empty until it is known.
   const std::string& manifest() const;
   const fetch_counts& counts() const;
+  peers::piece_announcement announcement() const;
 
 private:
   async_io::http_call manifest_source();
   void ask_manifest();
   void take_manifest(const result<async_io::http_response>& answer);
-  bool is_first_origin_read(std::uint32_t piece, unsigned attempt) const;
-  void fill();
-  void fetch(std::uint32_t piece, unsigned attempt);
-  void take_piece(std::uint32_t piece, unsigned attempt, bool from_origin,
-                  const result<async_io::http_response>& answer);
-  void fetch_after(std::chrono::milliseconds pause, std::uint32_t piece, unsigned attempt);
+  void adopt_manifest(piece_set pieces, const std::string& text);
+  void tick();
+  void begin_reads();
+  void fetch(const piece_read& read);
+  void take_piece(const piece_read& read, const result<async_io::http_response>& answer);
+  read_end keep_piece(const piece_read& read, const result<async_io::http_response>& answer);
+  void announce_if_due();
 
   fetch_environment m_environment;
   std::string m_model;
   std::uint64_t m_version;
   std::function<void(std::uint32_t)> m_on_piece;
   std::unique_ptr<piece_set> m_pieces;
-  /// Pieces to ask for, with the attempts so far.
-  std::deque<std::pair<std::uint32_t, unsigned>> m_waiting;
-  std::vector<std::unique_ptr<async_io::timer>> m_retry_timers;
+  std::unique_ptr<piece_schedule> m_schedule;
+  async_io::timer m_tick_timer;
   async_io::timer m_manifest_timer;
   std::string m_manifest;
+  std::vector<plan_host> m_hosts;
   fetch_counts m_counts;
-  /// Pieces that wait for a read of the origin, with their attempts.
-  std::deque<std::pair<std::uint32_t, unsigned>> m_waiting_for_origin;
-  /// Pieces that a peer has just answered not to have.
-  std::set<std::uint32_t> m_not_yet;
+  std::vector<peers::piece_state> m_announced;
+  async_io::time_point m_announced_at{};
   unsigned m_manifest_tries = 0;
-  unsigned m_in_flight = 0;
-  unsigned m_origin_reads = 0;
   unsigned m_mismatches = 0;
   bool m_asking_manifest = false;
   bool m_stopped = false;
--- a/Source/Core/Rollout/PiecePlan.h
+++ b/Source/Core/Rollout/PiecePlan.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -13,28 +15,36 @@
 {
   std::string ip;
   std::string region;
+
+  bool operator==(const plan_host&) const = default;
 };
 
-/// Where a piece comes from.
-struct piece_source
+/// Who reads which piece first: each piece is read from the origin by one host, crosses each
+/// regional link once, to one host of the region, and spreads from there. Pieces are dealt out in
+/// turn, so that every host sends about as much as it receives. The plan is the same at all hosts
+/// that know the same hosts.
+class piece_plan
 {
-  /// The origin; otherwise the host `ip`.
-  bool origin = false;
-  std::string ip;
-
-  bool operator==(const piece_source&) const = default;
+public:
+  piece_plan() = default;
+  /// `hosts` in any order, this host included.
+  piece_plan(std::span<const plan_host> hosts, const std::string& self);
+
+  /// Position of this host among those that may read the piece from the origin; 0 reads it first,
+  /// the others if the ones before them do not.
+  std::size_t origin_rank(std::uint32_t piece) const;
+  /// Position of this host among those of its region that may bring the piece into it.
+  std::size_t region_rank(std::uint32_t piece) const;
+  bool is_near(const std::string& ip) const;
+  /// Hosts other than this one.
+  std::span<const plan_host> others() const;
+
+private:
+  std::map<std::string, std::vector<std::string>> m_regions;
+  std::vector<std::string> m_all;
+  std::vector<plan_host> m_others;
+  std::string m_self;
+  std::string m_region;
 };
 
-/// Each piece is read from the origin by one host, crosses each regional link once, to one host of
-/// the region, and spreads from there. Pieces are dealt out in turn, so that every host sends about
-/// as much as it receives. `hosts` is sorted by address and the same at all hosts in calm times;
-/// where it differs, a source may not have the piece and the next attempt goes elsewhere. `attempt`
-/// counts the sources that have failed for this piece.
-piece_source choose_source(std::span<const plan_host> hosts, const std::string& self,
-                           std::uint32_t piece, unsigned attempt);
-
-/// Order in which a host asks for the pieces: those that others wait for first.
-std::vector<std::uint32_t> fetch_order(std::span<const plan_host> hosts, const std::string& self,
-                                       std::uint32_t pieces);
-
 } // namespace pollenyoke::rollout
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -19,9 +19,11 @@
 constexpr milliseconds poll_timeout{500};
 // Reports in a row that fail before the engine counts as lost: half a second.
 constexpr unsigned lost_after_polls = 5;
-// A peer asks another source when the piece has not arrived here in this time.
-constexpr milliseconds peer_wait{2500};
-constexpr std::size_t max_waiting_peers = 2048;
+// Pieces that wait for the one that is being sent. Behind more, a piece would reach its host later
+// than from another source.
+constexpr std::size_t max_queued_pieces = 2;
+// Hosts that want pieces announce themselves every 40 ms while they receive some.
+constexpr milliseconds answer_interval{100};
 // One piece may leave at once.
 constexpr double uplink_burst_bytes = 49152;
 // The origin's link has sent one copy of the weights by then.
@@ -34,7 +36,7 @@
 // An engine that is idle this long after it accepted an order will not carry it out.
 constexpr milliseconds order_lifetime{2000};
 // An engine without weights has no answers to send: pieces may use nearly the whole link.
-constexpr double idle_engine_cost = 0.78;
+constexpr double idle_engine_cost = 0.93;
 // Pieces of the serving version and of the next one stay, for hosts that come later.
 constexpr std::size_t kept_versions = 2;
 
@@ -213,11 +215,6 @@
   {
     const auto oldest = m_fetchers.begin();
     oldest->second->stop();
-    for (const waiting_peer& peer : m_waiting_peers[oldest->first])
-    {
-      peer.respond({.status = 404});
-    }
-    m_waiting_peers.erase(oldest->first);
     m_fetchers.erase(oldest);
   }
 }
@@ -241,25 +238,9 @@
   }
 }
 
-void rollout_agent::piece_arrived(std::uint64_t version, std::uint32_t piece)
+void rollout_agent::piece_arrived(std::uint64_t version, std::uint32_t /*piece*/)
 {
   const piece_set* pieces = m_fetchers.at(version)->pieces();
-  auto& waiting = m_waiting_peers[version];
-  std::vector<waiting_peer> served;
-  std::erase_if(waiting,
-                [&](const waiting_peer& peer)
-                {
-                  if (peer.piece != piece)
-                  {
-                    return false;
-                  }
-                  served.push_back(peer);
-                  return true;
-                });
-  for (const waiting_peer& peer : served)
-  {
-    send_piece(*pieces->get(piece), peer.respond);
-  }
   if (pieces->is_complete())
   {
     const fetch_counts& counts = m_fetchers.at(version)->counts();
@@ -308,21 +289,61 @@
     send_piece(*bytes, respond);
     return;
   }
-  if (fetcher == m_fetchers.end() && m_report && m_report->weight_version == version &&
-      m_loading_version == 0)
+  if (fetcher == m_fetchers.end() && engine_has_staged(version))
   {
     serve_staged(piece, respond);
     return;
   }
-  auto& waiting = m_waiting_peers[version];
-  const bool will_fetch = m_report && version >= wanted_version();
-  const bool may_come = fetcher != m_fetchers.end() || will_fetch;
-  if (!may_come || waiting.size() >= max_waiting_peers)
+  respond({.status = 404});
+}
+
+bool rollout_agent::engine_has_staged(std::uint64_t version) const
+{
+  return m_report && m_report->whole && m_report->weight_version == version &&
+         m_loading_version == 0;
+}
+
+std::optional<peers::piece_announcement> rollout_agent::own_pieces(std::uint64_t version) const
+{
+  const auto fetcher = m_fetchers.find(version);
+  if (fetcher != m_fetchers.end())
+  {
+    return fetcher->second->announcement();
+  }
+  if (!engine_has_staged(version))
+  {
+    return std::nullopt;
+  }
+  return peers::piece_announcement{
+      .model = m_model,
+      .version = version,
+      .states = std::vector<peers::piece_state>(m_piece_count, peers::piece_state::held)};
+}
+
+void rollout_agent::take_announcement(const std::string& ip, const peers::piece_announcement& news)
+{
+  if (news.model != m_model)
+  {
+    return;
+  }
+  const auto fetcher = m_fetchers.find(news.version);
+  if (fetcher != m_fetchers.end())
+  {
+    fetcher->second->take_announcement(ip, news);
+  }
+  const auto now = std::chrono::steady_clock::now();
+  auto& answered = m_answered[ip];
+  if (!news.wants_answer || now - answered < answer_interval)
   {
-    respond({.status = 404});
     return;
   }
-  waiting.push_back({piece, respond, std::chrono::steady_clock::now() + peer_wait});
+  auto own = own_pieces(news.version);
+  // A host that lacks pieces itself announces what it has to all.
+  if (own && !own->wants_answer)
+  {
+    answered = now;
+    m_environment.announce(ip, *own);
+  }
 }
 
 /// The engine still has what it loaded before this process held any pieces; the peer checks it.
@@ -343,6 +364,11 @@
 
 void rollout_agent::send_piece(std::string bytes, const async_io::http_listener::responder& respond)
 {
+  if (m_send_queue.size() >= max_queued_pieces)
+  {
+    respond({.status = 503});
+    return;
+  }
   m_send_queue.push_back({std::move(bytes), respond});
   if (!m_sending)
   {
@@ -386,20 +412,6 @@
 
 void rollout_agent::consider_load()
 {
-  const auto now = std::chrono::steady_clock::now();
-  for (auto& [version, waiting] : m_waiting_peers)
-  {
-    std::erase_if(waiting,
-                  [now](const waiting_peer& peer)
-                  {
-                    if (now < peer.expires)
-                    {
-                      return false;
-                    }
-                    peer.respond({.status = 404});
-                    return true;
-                  });
-  }
   const piece_set* pieces = ready_pieces();
   if (!m_report || pieces == nullptr || m_loading_version != 0)
   {
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -46,10 +46,12 @@
   void start();
   void set_model(const std::string& model, std::uint32_t pieces);
   void name_version(const protocol::named_version& version);
+  /// The agent of another host tells which pieces it has.
+  void take_announcement(const std::string& ip, const peers::piece_announcement& news);
   /// Answers a request of a peer for the manifest of a version.
   void serve_manifest(const async_io::message_head& head,
                       const async_io::http_listener::responder& respond);
-  /// Answers a request of a peer for a piece, at once or when the piece arrives.
+  /// Answers a request of a peer for a piece; 503 if too many are waiting to be sent.
   void serve_piece(const async_io::message_head& head,
                    const async_io::http_listener::responder& respond);
 
@@ -59,12 +61,6 @@
     std::string bytes;
     async_io::http_listener::responder respond;
   };
-  struct waiting_peer
-  {
-    std::uint32_t piece = 0;
-    async_io::http_listener::responder respond;
-    async_io::time_point expires;
-  };
 
   std::uint64_t wanted_version() const;
   /// Position of this host among the hosts of the service.
@@ -84,6 +80,9 @@
   void serve_staged(std::uint32_t piece, const async_io::http_listener::responder& respond);
   void consider_load();
   const piece_set* ready_pieces() const;
+  /// The engine has the whole version, which it loaded before this process held any pieces.
+  bool engine_has_staged(std::uint64_t version) const;
+  std::optional<peers::piece_announcement> own_pieces(std::uint64_t version) const;
   void stage(std::uint32_t piece);
   void check_staged(std::uint32_t piece);
   void order();
@@ -101,7 +100,8 @@
   /// Named versions and when this host heard of them.
   std::map<std::uint64_t, async_io::time_point> m_named;
   std::map<std::uint64_t, std::shared_ptr<piece_fetcher>> m_fetchers;
-  std::map<std::uint64_t, std::vector<waiting_peer>> m_waiting_peers;
+  /// When each host was last told what this one has.
+  std::map<std::string, async_io::time_point> m_answered;
   std::deque<queued_piece> m_send_queue;
   async_io::timer m_send_timer;
   token_bucket m_uplink;
--- a/Source/UnitTests/Rollout/PieceFetcherTest.cpp
+++ b/Source/UnitTests/Rollout/PieceFetcherTest.cpp
@@ -1,3 +1,4 @@
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -74,15 +75,28 @@
                   return std::vector<plan_host>{{"127.0.0.1", "east"}, {"127.0.0.2", "east"}};
                 },
             .origin =
-                [&]
-            {
-              return transport::endpoint{"127.0.0.1", origin.port()};
-            }},
+                [&] {
+                  return transport::endpoint{"127.0.0.1", origin.port()};
+                },
+            .announce =
+                [](const std::string&, const peers::piece_announcement&) {
+                }},
         "m", 2, [](std::uint32_t) {});
     fetcher->start();
-    // The peer answers nothing, so that what is asked for stays on its way.
+    timer announcements(loop);
+    std::function<void()> announce = [&]
+    {
+      fetcher->take_announcement("127.0.0.2",
+                                 {.model = "m",
+                                  .version = 2,
+                                  .states = std::vector(piece_count, peers::piece_state::held)});
+      announcements.start(milliseconds(100), announce);
+    };
+    announce();
+    // The peer has all and sends nothing, so that what is asked for stays on its way.
     guard.start(milliseconds(1500), [&] { loop.stop(); });
     loop.run();
+    announcements.cancel();
     fetcher->stop();
     // The open calls end with their time limit; until then they keep what they refer to.
     guard.start(std::chrono::seconds(7), [&] { loop.stop(); });
