Rollout: engines drain first, then load, each in its turn

An engine ordered to load 'pending' took nothing new until its last answer had ended, 1.3 to 2.6 s, and agents whose pieces came after their group's time all ordered at once. Change: turns spread evenly from 2.8 to 5.4 s after the naming. In its turn an agent tells entries to send nothing new, waits until the engine is idle, 0.8 s at most, and orders 'truncate'; entries continue the streams that are cut. An order whose answer was lost and which took effect puts the engine back in use.

--- a/Source/Core/Rollout/LoadRule.cpp
+++ b/Source/Core/Rollout/LoadRule.cpp
@@ -1,5 +1,7 @@
 #include "Rollout/LoadRule.h"
 
+#include <algorithm>
+
 namespace pollenyoke::rollout
 {
 
@@ -8,20 +10,22 @@
 
 using std::chrono::milliseconds;
 
-// Pieces are with most hosts after three seconds. Ending the running work and loading take one to
-// two more. Three groups about a second apart have all engines loaded within the eight seconds that
-// a version has.
-constexpr std::size_t groups = 3;
-constexpr milliseconds first_group{2600};
-constexpr milliseconds group_interval{900};
+// Pieces are with most hosts after three seconds. Turns are spread over the time that remains of
+// the eight seconds that a version has, less what the last engine needs to drain and load.
+constexpr milliseconds first_turn{2800};
+constexpr milliseconds last_turn{5400};
+// The longest answers take two and a half seconds more, in which the engine would read no other
+// prompts; those that still run by then are continued by other engines.
+constexpr milliseconds longest_drain{800};
 // Time after which an order without an answer shows in the engine's report if it was accepted.
 constexpr milliseconds order_settles{1000};
 
 } // namespace
 
-milliseconds planned_load(std::size_t position)
+milliseconds planned_load(const load_turn& turn)
 {
-  return first_group + group_interval * static_cast<int>(position % groups);
+  const auto span = static_cast<std::size_t>((last_turn - first_turn).count());
+  return first_turn + milliseconds(span * turn.position / std::max<std::size_t>(turn.hosts, 1));
 }
 
 load_action decide_load(const load_facts& facts)
@@ -43,7 +47,12 @@
   {
     return load_action::load;
   }
-  return facts.known_for >= planned_load(facts.position) ? load_action::load : load_action::wait;
+  if (!facts.drained_for)
+  {
+    return facts.known_for >= planned_load(facts.turn) ? load_action::drain : load_action::wait;
+  }
+  const bool idle = report.running + report.waiting == 0;
+  return idle || *facts.drained_for >= longest_drain ? load_action::load : load_action::wait;
 }
 
 } // namespace pollenyoke::rollout
--- a/Source/Core/Rollout/LoadRule.h
+++ b/Source/Core/Rollout/LoadRule.h
@@ -9,6 +9,13 @@
 namespace pollenyoke::rollout
 {
 
+/// Position of this host among the hosts of its service.
+struct load_turn
+{
+  std::size_t position = 0;
+  std::size_t hosts = 1;
+};
+
 struct load_facts
 {
   protocol::engine_report report;
@@ -16,8 +23,9 @@
   std::uint64_t ready_version = 0;
   /// Time since that version became known to this host.
   std::chrono::milliseconds known_for{};
-  /// Position of this host among the hosts of its service.
-  std::size_t position = 0;
+  load_turn turn;
+  /// Since when the engine gets no new requests; empty if it does.
+  std::optional<std::chrono::milliseconds> drained_for;
   /// An order was sent and its answer was lost: time since then.
   std::optional<std::chrono::milliseconds> order_unknown_for;
 };
@@ -25,16 +33,20 @@
 enum class load_action
 {
   wait,
+  /// Entries send nothing new to the engine, so that its running work ends.
+  drain,
   /// Stage the pieces, check them and order the engine to load.
   load,
 };
 
-/// Time after a version became known at which a host's engine loads it.
-std::chrono::milliseconds planned_load(std::size_t position);
+/// Time after a version became known at which a host's engine begins to drain for it.
+std::chrono::milliseconds planned_load(const load_turn& turn);
 
-/// Decides when the engine of this host loads. Load pattern: an engine that loads takes nothing new
-/// and ends its running work first, so engines load in groups, one after the other, while the
-/// others serve. An engine without weights loads at once.
+/// Decides when the engine of this host loads. Load pattern: steady requests while all engines have
+/// to load within the time limit of a version. Loading ends the engine's work, so engines take
+/// turns, and each first gets no new requests until its running ones have ended or waiting for the
+/// last of them would cost more than running these again elsewhere. An engine without weights loads
+/// at once.
 load_action decide_load(const load_facts& facts);
 
 } // namespace pollenyoke::rollout
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -132,6 +132,7 @@
              {{"weights", report->weight_version}});
     m_ordered_since.reset();
     m_order_unknown_since.reset();
+    m_draining_since.reset();
     m_loading_version = 0;
   }
   m_report = std::move(*report);
@@ -149,20 +150,27 @@
          {"after_ms",
           m_named.contains(m_loading_version) ? since(m_named.at(m_loading_version)).count() : 0}});
     m_ordered_since.reset();
+    m_draining_since.reset();
     m_loading_version = 0;
   }
-  report_load(m_loading_version != 0 || m_report->busy);
+  if (m_draining_since && m_loading_version == 0 && !m_report->busy && m_report->whole &&
+      m_report->weight_version >= wanted_version())
+  {
+    // The order took effect although its answer was lost.
+    m_draining_since.reset();
+  }
+  report_load(m_loading_version != 0 || m_draining_since || m_report->busy);
   fetch_if_needed();
   consider_load();
 }
 
-std::size_t rollout_agent::position() const
+load_turn rollout_agent::turn() const
 {
   const auto hosts = m_environment.hosts();
-  return static_cast<std::size_t>(std::find_if(hosts.begin(), hosts.end(),
-                                               [this](const plan_host& host)
-                                               { return host.ip == m_environment.self; }) -
-                                  hosts.begin());
+  const auto self =
+      std::find_if(hosts.begin(), hosts.end(),
+                   [this](const plan_host& host) { return host.ip == m_environment.self; });
+  return {static_cast<std::size_t>(self - hosts.begin()), hosts.size()};
 }
 
 void rollout_agent::report_load(bool loading)
@@ -172,7 +180,7 @@
   if (!loading && named != m_named.end() && m_report->weight_version != 0 &&
       m_report->weight_version < named->first)
   {
-    load_in = std::max(milliseconds(1), planned_load(position()) - since(named->second));
+    load_in = std::max(milliseconds(1), planned_load(turn()) - since(named->second));
   }
   m_handlers.on_report(*m_report, loading, load_in);
 }
@@ -422,17 +430,29 @@
   facts.ready_version = pieces->version();
   const auto named = m_named.find(pieces->version());
   facts.known_for = named == m_named.end() ? milliseconds(3'600'000) : since(named->second);
-  facts.position = position();
+  facts.turn = turn();
+  if (m_draining_since)
+  {
+    facts.drained_for = since(*m_draining_since);
+  }
   if (m_order_unknown_since)
   {
     facts.order_unknown_for = since(*m_order_unknown_since);
   }
-  if (decide_load(facts) == load_action::load)
+  switch (decide_load(facts))
   {
+  case load_action::wait:
+    return;
+  case load_action::drain:
+    m_draining_since = std::chrono::steady_clock::now();
+    report_load(true);
+    return;
+  case load_action::load:
     m_order_unknown_since.reset();
     m_loading_version = pieces->version();
     report_load(true);
     stage(0);
+    return;
   }
 }
 
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -63,8 +63,7 @@
   };
 
   std::uint64_t wanted_version() const;
-  /// Position of this host among the hosts of the service.
-  std::size_t position() const;
+  load_turn turn() const;
   /// The hosts that this process knows have not changed for a while.
   bool has_settled();
   void report_load(bool loading);
@@ -107,6 +106,8 @@
   token_bucket m_uplink;
   bool m_sending = false;
   std::optional<protocol::engine_report> m_report;
+  /// Since when entries are told to send nothing new to the engine, before it loads.
+  std::optional<async_io::time_point> m_draining_since;
   /// Version that is being staged and ordered.
   std::uint64_t m_loading_version = 0;
   /// When the engine accepted an order for that version.
--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(spoilt_pieces_of_the_origin_are_read_again);
   CPPUNIT_TEST(engine_is_not_ordered_to_load_spoilt_pieces);
   CPPUNIT_TEST(lost_answer_to_an_order_does_not_order_twice);
+  CPPUNIT_TEST(drained_engine_is_used_again_after_a_lost_answer);
   CPPUNIT_TEST(restarted_engine_is_loaded_again);
   CPPUNIT_TEST(agent_without_engine_takes_no_part);
   CPPUNIT_TEST(peers_get_pieces_and_manifest);
@@ -118,6 +119,8 @@
   unsigned m_spoil_origin = 0;
   unsigned m_lose_orders = 0;
   bool m_engine_lost = false;
+  bool m_out_of_use = false;
+  bool m_was_out_of_use = false;
   unsigned m_origin_reads = 0;
   std::size_t m_shown_hosts = 0;
   std::size_t m_final_hosts = 1;
@@ -266,11 +269,16 @@
                             m_announced[ip] = news;
                           }},
         m_engine->address(),
-        rollout_handlers{[](const protocol::engine_report&, bool, std::optional<milliseconds>) {},
-                         [this]
-                         {
-                           m_engine_lost = true;
-                         }});
+        rollout_handlers{
+            [this](const protocol::engine_report&, bool loading, std::optional<milliseconds>)
+            {
+              m_was_out_of_use = m_was_out_of_use || loading;
+              m_out_of_use = loading;
+            },
+            [this]
+            {
+              m_engine_lost = true;
+            }});
     m_agent->set_model("m", piece_count);
     m_agent->name_version({"m", 2});
   }
@@ -321,6 +329,19 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_engine_orders);
   }
 
+  /// Guards against an engine that stays out of use although it serves the new version, because the
+  /// answer to its order was lost.
+  void drained_engine_is_used_again_after_a_lost_answer()
+  {
+    m_engine_version = 1;
+    m_lose_orders = 1;
+    m_agent->start();
+    run_until([this] { return serves_version_2(); });
+    CPPUNIT_ASSERT(m_was_out_of_use);
+    run_until([this] { return !m_out_of_use; });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_engine_orders);
+  }
+
   void restarted_engine_is_loaded_again()
   {
     m_agent->start();
--- a/Source/UnitTests/Rollout/RolloutTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutTest.cpp
@@ -41,7 +41,8 @@
   CPPUNIT_TEST(each_piece_has_one_first_reader_everywhere);
   CPPUNIT_TEST(first_readers_are_spread_over_hosts);
   CPPUNIT_TEST(spoilt_pieces_are_not_kept);
-  CPPUNIT_TEST(engines_load_in_groups);
+  CPPUNIT_TEST(engines_take_turns_to_load);
+  CPPUNIT_TEST(engine_loads_when_its_work_has_ended);
   CPPUNIT_TEST(order_with_lost_answer_is_not_repeated_at_once);
   CPPUNIT_TEST(backlog_drains_with_time);
   CPPUNIT_TEST_SUITE_END();
@@ -112,17 +113,30 @@
   }
 
   /// Guards against all engines ending their work for new weights at the same time.
-  void engines_load_in_groups()
+  void engines_take_turns_to_load()
   {
+    constexpr std::size_t hosts = 27;
+    std::map<std::int64_t, int> begun_in_half_second;
+    for (std::size_t position = 0; position < hosts; ++position)
+    {
+      const auto turn = planned_load({position, hosts});
+      ++begun_in_half_second[turn.count() / 500];
+      // A second to drain and load and a second to spare are left of the eight that a version has.
+      CPPUNIT_ASSERT(turn <= milliseconds(6000));
+    }
+    for (const auto& [half_second, count] : begun_in_half_second)
+    {
+      CPPUNIT_ASSERT(count <= static_cast<int>(hosts / 3));
+    }
     load_facts facts;
     facts.report.weight_version = 1;
     facts.report.whole = true;
     facts.ready_version = 2;
-    facts.position = 2;
-    facts.known_for = planned_load(0);
+    facts.turn = {14, hosts};
+    facts.known_for = planned_load({0, hosts});
     CPPUNIT_ASSERT(decide_load(facts) == load_action::wait);
-    facts.known_for = planned_load(2);
-    CPPUNIT_ASSERT(decide_load(facts) == load_action::load);
+    facts.known_for = planned_load(facts.turn);
+    CPPUNIT_ASSERT(decide_load(facts) == load_action::drain);
     facts.report.busy = true;
     CPPUNIT_ASSERT(decide_load(facts) == load_action::wait);
     facts.report = {};
@@ -130,6 +144,28 @@
     CPPUNIT_ASSERT(decide_load(facts) == load_action::load);
   }
 
+  /// Guards against running work that is cut although it would have ended, and against an engine
+  /// that stays idle for its last long answer.
+  void engine_loads_when_its_work_has_ended()
+  {
+    load_facts facts;
+    facts.report.weight_version = 1;
+    facts.report.whole = true;
+    facts.report.running = 3;
+    facts.ready_version = 2;
+    facts.known_for = planned_load({0, 1});
+    facts.drained_for = milliseconds(100);
+    CPPUNIT_ASSERT(decide_load(facts) == load_action::wait);
+    facts.report.running = 0;
+    facts.report.waiting = 1;
+    CPPUNIT_ASSERT(decide_load(facts) == load_action::wait);
+    facts.report.waiting = 0;
+    CPPUNIT_ASSERT(decide_load(facts) == load_action::load);
+    facts.report.running = 1;
+    facts.drained_for = milliseconds(2000);
+    CPPUNIT_ASSERT(decide_load(facts) == load_action::load);
+  }
+
   void order_with_lost_answer_is_not_repeated_at_once()
   {
     load_facts facts;
