Rollout: shorter wait for a settled set of hosts; a drained engine is judged by the pieces that are there

Cause: after a loss of power agents waited 0.7 s and more before the first read, so that a host that knew few others would not read their share of the origin as well. Change: 0.4 s and 0.2 s without a new host (was 0.7 and 0.35). An engine that drained and serves the newest version whose pieces are there is back in use, also if a newer one has been named since.

--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -30,8 +30,8 @@
 constexpr milliseconds handed_out_after{1400};
 // A process that has just started knows few others yet; reading by itself what they read for it
 // would fill the origin's link. It waits until it has heard of no new host for a while.
-constexpr milliseconds shortest_settling{700};
-constexpr milliseconds quiet_settling{350};
+constexpr milliseconds shortest_settling{400};
+constexpr milliseconds quiet_settling{200};
 constexpr milliseconds longest_settling{3000};
 // An engine that is idle this long after it accepted an order will not carry it out.
 constexpr milliseconds order_lifetime{2000};
@@ -153,8 +153,9 @@
     m_draining_since.reset();
     m_loading_version = 0;
   }
+  const piece_set* ready = ready_pieces();
   if (m_draining_since && m_loading_version == 0 && !m_report->busy && m_report->whole &&
-      m_report->weight_version >= wanted_version())
+      ready != nullptr && m_report->weight_version >= ready->version())
   {
     // The order took effect although its answer was lost.
     m_draining_since.reset();
