--- a/Source/UnitTests/Rollout/PieceFetcherTest.cpp
+++ b/Source/UnitTests/Rollout/PieceFetcherTest.cpp
@@ -25,6 +25,16 @@
   CPPUNIT_TEST(pieces_on_their_way_are_bounded);
   CPPUNIT_TEST_SUITE_END();
 
+  static std::string manifest()
+  {
+    std::string digests;
+    for (std::uint32_t piece = 0; piece < piece_count; ++piece)
+    {
+      digests += (piece == 0 ? "\"" : ",\"") + to_hex(sha256(std::to_string(piece))) + "\"";
+    }
+    return R"({"model":"m","version":2,"chunk_bytes":9,"digests":[)" + digests + "]}";
+  }
+
 public:
   /// Guards against so many pieces on their way to one host that requests for its engine wait
   /// behind them for seconds where its link is narrow. The bound: 1.2 Mbit/s send 8 pieces of 49 KB
@@ -43,26 +53,19 @@
                          silent.push_back(respond);
                        });
     CPPUNIT_ASSERT(peer.listen({"127.0.0.2", 0}));
-    std::string digests;
-    for (std::uint32_t piece = 0; piece < piece_count; ++piece)
-    {
-      digests += (piece == 0 ? "\"" : ",\"") + to_hex(sha256(std::to_string(piece))) + "\"";
-    }
     bool origin_asked = false;
-    http_listener origin(
-        loop,
-        [&](const message_head& head, const http_listener::responder& respond)
-        {
-          if (!path_of(head.target).starts_with("/v1/manifest/"))
-          {
-            // Refused reads are repeated; the repeats count as well.
-            respond({.status = 503});
-            return;
-          }
-          origin_asked = true;
-          respond({200, "application/json",
-                   R"({"model":"m","version":2,"chunk_bytes":9,"digests":[)" + digests + "]}"});
-        });
+    http_listener origin(loop,
+                         [&](const message_head& head, const http_listener::responder& respond)
+                         {
+                           if (!path_of(head.target).starts_with("/v1/manifest/"))
+                           {
+                             // Refused reads are repeated; the repeats count as well.
+                             respond({.status = 503});
+                             return;
+                           }
+                           origin_asked = true;
+                           respond({200, "application/json", manifest()});
+                         });
     CPPUNIT_ASSERT(origin.listen({"127.0.0.1", 0}));
     const auto fetcher = std::make_shared<piece_fetcher>(
         fetch_environment{
