Rollout, platform: the product says what becomes of running requests; draining is logged

The adapter's start_call had the mode of an order fixed; it now takes it from its caller. Draining gets a log line with the requests that run, and the line of the order tells how many of them are cut. The fetcher reports completion instead of single pieces, as nothing waits for these any more.

--- a/Source/Core/Rollout/PieceFetcher.cpp
+++ b/Source/Core/Rollout/PieceFetcher.cpp
@@ -54,9 +54,9 @@
 }
 
 piece_fetcher::piece_fetcher(fetch_environment environment, std::string model,
-                             std::uint64_t version, std::function<void(std::uint32_t)> on_piece)
+                             std::uint64_t version, std::function<void()> on_complete)
     : m_environment(std::move(environment)), m_model(std::move(model)), m_version(version),
-      m_on_piece(std::move(on_piece)), m_tick_timer(m_environment.loop),
+      m_on_complete(std::move(on_complete)), m_tick_timer(m_environment.loop),
       m_manifest_timer(m_environment.loop)
 {
 }
@@ -264,7 +264,10 @@
   if (end == read_end::received && !known)
   {
     ++(read.from_origin() ? m_counts.from_origin : m_counts.from_peers);
-    m_on_piece(read.piece);
+    if (m_pieces->is_complete())
+    {
+      m_on_complete();
+    }
   }
   begin_reads();
 }
--- a/Source/Core/Rollout/PieceFetcher.h
+++ b/Source/Core/Rollout/PieceFetcher.h
@@ -51,9 +51,9 @@
 class piece_fetcher : public std::enable_shared_from_this<piece_fetcher>
 {
 public:
-  /// `on_piece` is called for each piece that was checked and kept.
+  /// `on_complete` is called when all pieces were checked and kept.
   piece_fetcher(fetch_environment environment, std::string model, std::uint64_t version,
-                std::function<void(std::uint32_t)> on_piece);
+                std::function<void()> on_complete);
 
   void start();
   void stop();
@@ -81,7 +81,7 @@
   fetch_environment m_environment;
   std::string m_model;
   std::uint64_t m_version;
-  std::function<void(std::uint32_t)> m_on_piece;
+  std::function<void()> m_on_complete;
   std::unique_ptr<piece_set> m_pieces;
   std::unique_ptr<piece_schedule> m_schedule;
   async_io::timer m_tick_timer;
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -209,9 +209,8 @@
   {
     return;
   }
-  const auto fetcher = std::make_shared<piece_fetcher>(m_environment, m_model, version,
-                                                       [this, version](std::uint32_t piece)
-                                                       { piece_arrived(version, piece); });
+  const auto fetcher = std::make_shared<piece_fetcher>(
+      m_environment, m_model, version, [this, version] { pieces_complete(version); });
   m_fetchers[version] = fetcher;
   drop_old_versions();
   stop_overtaken(version);
@@ -247,21 +246,17 @@
   }
 }
 
-void rollout_agent::piece_arrived(std::uint64_t version, std::uint32_t /*piece*/)
+void rollout_agent::pieces_complete(std::uint64_t version)
 {
-  const piece_set* pieces = m_fetchers.at(version)->pieces();
-  if (pieces->is_complete())
-  {
-    const fetch_counts& counts = m_fetchers.at(version)->counts();
-    log_info(log_category::weights, "all pieces held",
-             {{"version", version},
-              {"after_ms", m_named.contains(version) ? since(m_named.at(version)).count() : 0},
-              {"from_origin", counts.from_origin},
-              {"from_peers", counts.from_peers},
-              {"failed_origin", counts.failed_origin},
-              {"failed_peers", counts.failed_peers}});
-    consider_load();
-  }
+  const fetch_counts& counts = m_fetchers.at(version)->counts();
+  log_info(log_category::weights, "all pieces held",
+           {{"version", version},
+            {"after_ms", m_named.contains(version) ? since(m_named.at(version)).count() : 0},
+            {"from_origin", counts.from_origin},
+            {"from_peers", counts.from_peers},
+            {"failed_origin", counts.failed_origin},
+            {"failed_peers", counts.failed_peers}});
+  consider_load();
 }
 
 void rollout_agent::serve_manifest(const async_io::message_head& head,
@@ -446,6 +441,11 @@
     return;
   case load_action::drain:
     m_draining_since = std::chrono::steady_clock::now();
+    log_info(log_category::weights, "engine drains for a new version",
+             {{"version", pieces->version()},
+              {"after_ms", facts.known_for.count()},
+              {"running", m_report->running},
+              {"waiting", m_report->waiting}});
     report_load(true);
     return;
   case load_action::load:
@@ -525,7 +525,8 @@
     return;
   }
   m_environment.caller.call(
-      platform::start_call(m_engine, m_model, m_loading_version, m_report->orders),
+      platform::start_call(m_engine, m_model, m_loading_version, m_report->orders,
+                           platform::running_work::cut),
       [this](const result<async_io::http_response>& answer)
       {
         if (!answer && answer.error().code != error_code::unavailable)
@@ -541,7 +542,9 @@
           return;
         }
         log_info(log_category::weights, "order accepted",
-                 {{"version", m_loading_version}, {"status", answer->head.status}});
+                 {{"version", m_loading_version},
+                  {"status", answer->head.status},
+                  {"running", m_report ? m_report->running : 0}});
         m_ordered_since = std::chrono::steady_clock::now();
       });
 }
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -70,7 +70,7 @@
   void poll_engine();
   void take_report(const result<async_io::http_response>& answer);
   void fetch_if_needed();
-  void piece_arrived(std::uint64_t version, std::uint32_t piece);
+  void pieces_complete(std::uint64_t version);
   /// Sends a piece to a peer at the pace that leaves room on the link for answers of the engine.
   void send_piece(std::string bytes, const async_io::http_listener::responder& respond);
   void send_next_piece();
--- a/Source/UnitTests/Rollout/PieceFetcherTest.cpp
+++ b/Source/UnitTests/Rollout/PieceFetcherTest.cpp
@@ -84,7 +84,7 @@
             .announce =
                 [](const std::string&, const peers::piece_announcement&) {
                 }},
-        "m", 2, [](std::uint32_t) {});
+        "m", 2, [] {});
     fetcher->start();
     timer announcements(loop);
     std::function<void()> announce = [&]
