Rollout, AsyncIo: no announcement is built that is too early to send; unused functions removed

Every announcement of a peer made a fetcher build its own, a copy of the state of all pieces, before it looked at the time since the last one. The time is now looked at first; what is sent, and when, stays the same. piece_fetcher::version and tcp_connection's pause_reading and resume_reading had no caller.

--- a/Source/Core/AsyncIo/TcpConnection.cpp
+++ b/Source/Core/AsyncIo/TcpConnection.cpp
@@ -58,7 +58,6 @@
   std::size_t unsent = 0;
   bool writing = false;
   bool reading = false;
-  bool paused = false;
   bool open = false;
   bool closing = false;
 };
@@ -136,13 +135,12 @@
 {
   m_state->on_data = std::move(on_data);
   m_state->on_close = std::move(on_close);
-  m_state->paused = false;
   wait_readable();
 }
 
 void tcp_connection::wait_readable()
 {
-  if (m_state->reading || m_state->paused || !m_state->open)
+  if (m_state->reading || !m_state->open)
   {
     return;
   }
@@ -163,7 +161,7 @@
   const auto buffer = m_state->loop.scratch();
   // Asio waits for edges: what is left unread, the end of the stream included, would not wake it
   // again.
-  while (m_state->open && !m_state->paused)
+  while (m_state->open)
   {
     boost::system::error_code failure;
     const std::size_t received =
@@ -250,20 +248,6 @@
   return m_state->unsent;
 }
 
-void tcp_connection::pause_reading()
-{
-  m_state->paused = true;
-}
-
-void tcp_connection::resume_reading()
-{
-  if (m_state->paused)
-  {
-    m_state->paused = false;
-    wait_readable();
-  }
-}
-
 bool tcp_connection::is_open() const
 {
   return m_state->open && !m_state->closing;
@@ -307,7 +291,6 @@
   m_state->on_data = nullptr;
   m_state->on_close = nullptr;
   m_state->on_sent = nullptr;
-  m_state->paused = false;
   if (!m_state->writing)
   {
     boost::system::error_code ignored;
--- a/Source/Core/AsyncIo/TcpConnection.h
+++ b/Source/Core/AsyncIo/TcpConnection.h
@@ -44,8 +44,6 @@
   /// Called each time all queued bytes have been passed to the kernel.
   void set_sent_handler(std::function<void()> handler);
   std::size_t unsent_bytes() const;
-  void pause_reading();
-  void resume_reading();
   bool is_open() const;
   /// Closes at once; queued bytes are dropped. A reset is sent if bytes of the peer are unread.
   void close();
--- a/Source/Core/Rollout/PieceFetcher.cpp
+++ b/Source/Core/Rollout/PieceFetcher.cpp
@@ -88,11 +88,6 @@
   return m_pieces.get();
 }
 
-std::uint64_t piece_fetcher::version() const
-{
-  return m_version;
-}
-
 const std::string& piece_fetcher::manifest() const
 {
   return m_manifest;
@@ -213,10 +208,16 @@
 void piece_fetcher::announce_if_due()
 {
   const auto now = std::chrono::steady_clock::now();
+  const auto since_last = now - m_announced_at;
+  const bool complete = m_pieces->is_complete();
+  // Each announcement of a peer leads here; most come too soon for a new one.
+  if (!complete && since_last < change_interval)
+  {
+    return;
+  }
   auto news = announcement();
   const bool changed = news.states != m_announced;
-  const bool last = changed && m_pieces->is_complete();
-  if (!last && now - m_announced_at < (changed ? change_interval : reminder_interval))
+  if (!(changed && complete) && since_last < (changed ? change_interval : reminder_interval))
   {
     return;
   }
--- a/Source/Core/Rollout/PieceFetcher.h
+++ b/Source/Core/Rollout/PieceFetcher.h
@@ -60,7 +60,6 @@
   void take_announcement(const std::string& ip, const peers::piece_announcement& news);
   /// Null until the manifest is known.
   const piece_set* pieces() const;
-  std::uint64_t version() const;
   /// The manifest as it was received; empty until it is known.
   const std::string& manifest() const;
   const fetch_counts& counts() const;
