--- a/Source/Ctl/Main.cpp
+++ b/Source/Ctl/Main.cpp
@@ -1,17 +1,17 @@
 #include <charconv>
 #include <chrono>
-#include <fstream>
 #include <iostream>
 #include <map>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include <unistd.h>
 
 #include <docopt/docopt.h>
 
+#include "Common/TextFile.h"
 #include "Ctl/ExitStatus.h"
 #include "Ctl/Publish.h"
 #include "Ctl/Status.h"
@@ -77,14 +77,12 @@
 
 std::string read_file(const std::string& path)
 {
-  std::ifstream file(path);
-  if (!file)
+  auto text = read_text_file(path);
+  if (!text)
   {
-    throw usage_error{path + ": cannot be read"};
+    throw usage_error{path + ": " + text.error().message};
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
+  return std::move(*text);
 }
 
 transport::endpoint address_of(const arguments& options, const std::string& name)
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -1,15 +1,13 @@
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <map>
-#include <optional>
-#include <sstream>
 #include <string>
 
 #include <docopt/docopt.h>
 
 #include "Agent/Agent.h"
 #include "Common/Log.h"
+#include "Common/TextFile.h"
 #include "Entry/Entry.h"
 #include "Protocol/Settings.h"
 
@@ -38,18 +36,6 @@
 A second SIGTERM ends it at once.
 )";
 
-std::optional<std::string> read_file(const std::string& path)
-{
-  std::ifstream file(path);
-  if (!file)
-  {
-    return std::nullopt;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 /// Blocks the stop signals in all threads that start later, so that only sigwait receives them.
 sigset_t block_stop_signals()
 {
@@ -88,10 +74,10 @@
 
 int run_with_file(const std::string& path, bool check_only)
 {
-  const auto text = read_file(path);
+  const auto text = read_text_file(path);
   if (!text)
   {
-    std::cerr << path << ":1: file: cannot be read\n";
+    std::cerr << path << ":1: file: " << text.error().message << '\n';
     return exit_bad_settings;
   }
   const auto settings = protocol::parse_settings(*text, path);
--- a/Source/Daemon/NodeMain.cpp
+++ b/Source/Daemon/NodeMain.cpp
@@ -1,15 +1,13 @@
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <map>
-#include <optional>
-#include <sstream>
 #include <string>
 
 #include <docopt/docopt.h>
 
 #include "Common/Log.h"
+#include "Common/TextFile.h"
 #include "Node/AgentNode.h"
 #include "Node/EntryNode.h"
 #include "Protocol/NodeSettings.h"
@@ -41,24 +39,12 @@
 finishes what is in progress and ends. A second SIGTERM ends it at once.
 )";
 
-std::optional<std::string> read_file(const std::string& path)
-{
-  std::ifstream file(path);
-  if (!file)
-  {
-    return std::nullopt;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 int run_with_file(const std::string& path, bool check_only)
 {
-  const auto text = read_file(path);
+  const auto text = read_text_file(path);
   if (!text)
   {
-    std::cerr << path << ":1: file: cannot be read\n";
+    std::cerr << path << ":1: file: " << text.error().message << '\n';
     return exit_bad_settings;
   }
   const auto settings = protocol::parse_node_settings(*text, path);
