--- a/Source/Core/Peers/PeerMessages.cpp
+++ b/Source/Core/Peers/PeerMessages.cpp
@@ -1,39 +1,22 @@
 #include "Peers/PeerMessages.h"
 
-#include <sstream>
-
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "Protocol/ByteArchive.h"
+
 namespace pollenyoke::peers
 {
 
 std::string encode_message(const peer_message& message)
 {
-  std::ostringstream out;
-  {
-    cereal::PortableBinaryOutputArchive archive(out);
-    archive(message);
-  }
-  return std::move(out).str();
+  return protocol::encode_text(message);
 }
 
 result<peer_message> decode_message(std::string_view datagram)
 {
-  try
-  {
-    std::istringstream in{std::string(datagram)};
-    cereal::PortableBinaryInputArchive archive(in);
-    peer_message message;
-    archive(message);
-    return message;
-  }
-  catch (const std::exception& e)
-  {
-    return fail(error_code::malformed, e.what());
-  }
+  return protocol::decode_text<peer_message>(datagram);
 }
 
 } // namespace pollenyoke::peers
--- a/Source/UnitTests/Peers/PeerTableTest.cpp
+++ b/Source/UnitTests/Peers/PeerTableTest.cpp
@@ -124,6 +124,16 @@
       CPPUNIT_ASSERT(!decode_message(std::string_view(bytes).substr(0, size)));
     }
     CPPUNIT_ASSERT(!decode_message("\x01\xff\xff\xff\xff garbage"));
+    const piece_announcement news{.model = "m",
+                                  .version = 3,
+                                  .states = {piece_state::held, piece_state::reading},
+                                  .wants_answer = true};
+    const auto same = decode_message(encode_message(news));
+    CPPUNIT_ASSERT(same);
+    CPPUNIT_ASSERT(std::get<piece_announcement>(*same).states == news.states);
+    // A claim of four thousand million entries is not allocated for.
+    using namespace std::string_view_literals;
+    CPPUNIT_ASSERT(!decode_message("\x00\x00\x00\x00\xff\xff\xff\xff"sv));
   }
 };
 
