StateFeed: operator records of a peer keep their age

A reader that the store turned away and that asked peers looked up to date to its followers, so nobody in the failure domain read the store. Test: StateFeed.Follower state_of_a_peer_keeps_its_age fails before (age 0, not 5000 ms) and passes after.

--- a/Source/Core/StateFeed/PeerSnapshot.h
+++ b/Source/Core/StateFeed/PeerSnapshot.h
@@ -15,15 +15,17 @@
 {
   bool has_operator_records = false;
   record_page operator_records;
+  /// Milliseconds since the sender's operator records were confirmed, and its backend records.
+  std::uint64_t operator_age_ms = 0;
   bool has_backends = false;
   record_page backends;
-  /// Milliseconds since the sender's backend records were confirmed.
   std::uint64_t backend_age_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(has_operator_records, operator_records, has_backends, backends, backend_age_ms);
+    archive(has_operator_records, operator_records, operator_age_ms, has_backends, backends,
+            backend_age_ms);
   }
 };
 
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -126,9 +126,8 @@
     out.operator_records = m_operator.state.newest();
     out.has_backends = m_backends.state.is_known();
     out.backends = m_backends.state.newest();
-    out.backend_age_ms = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_backends.state.confirmed())
-            .count());
+    out.operator_age_ms = age_ms(last_confirmed());
+    out.backend_age_ms = age_ms(m_backends.state.confirmed());
     return out;
   }
 
@@ -158,6 +157,12 @@
     return std::chrono::steady_clock::now();
   }
 
+  static std::uint64_t age_ms(async_io::time_point confirmed)
+  {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now() - confirmed).count());
+  }
+
   /// A read of the operator's records waits for ten seconds; those of the backend servers are read
   /// all the time and show sooner that the store answers this process.
   async_io::time_point last_confirmed() const
@@ -334,7 +339,9 @@
     }
     if (snapshot->has_operator_records)
     {
-      m_operator.state.apply_newest(snapshot->operator_records, now());
+      // A peer may be cut off from the store as well.
+      m_operator.state.apply_newest(snapshot->operator_records,
+                                    now() - std::chrono::milliseconds(snapshot->operator_age_ms));
       m_operator.relay.notify();
     }
     if (m_follow_backends && snapshot->has_backends)
--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(records_no_longer_kept_are_read_anew);
   CPPUNIT_TEST(rewound_history_is_read_anew);
   CPPUNIT_TEST(failed_store_is_replaced_by_a_peer);
+  CPPUNIT_TEST(state_of_a_peer_keeps_its_age);
   CPPUNIT_TEST(reader_of_the_domain_is_asked_first);
   CPPUNIT_TEST(reader_without_answer_is_passed_over);
   CPPUNIT_TEST(reader_with_old_state_is_passed_over);
@@ -179,6 +180,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string("read op 4"), m_store.next_call());
   }
 
+  /// Guards against readers that the store turns away and that count as up to date because they ask
+  /// each other's followers: no process of their failure domains then reads the store itself.
+  void state_of_a_peer_keeps_its_age()
+  {
+    auto feed = make_feed(false);
+    m_peer = peer_snapshot{.has_operator_records = true,
+                           .operator_records = page({{"config", "4", 3}}, 4),
+                           .operator_age_ms = 5000};
+    feed.start();
+    m_store.answer(fail(error_code::unavailable, "503"));
+    std::uint64_t age_ms = 0;
+    feed.serve_changes(record_topic::operator_records, 0, {},
+                       [&age_ms](const std::string& body)
+                       { age_ms = decode_relay(body).value().age_ms; });
+    CPPUNIT_ASSERT(age_ms >= 5000);
+    // What it hands on to other peers is as old.
+    CPPUNIT_ASSERT(feed.snapshot().operator_age_ms >= 5000);
+  }
+
   void reader_of_the_domain_is_asked_first()
   {
     auto feed = make_feed(false);
