Gateway: streams that move go ahead in a server's queue, late requests behind

Cause: while engines take turns to load weights, their streams move to engines with long queues; a pause over 0.4 s makes them late. Change: each request names its rank to the server: streams that continue first, requests past their objective last (UrgencyRule).

--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -4,6 +4,7 @@
 
 #include "Common/Log.h"
 #include "Gateway/AdmissionRule.h"
+#include "Gateway/UrgencyRule.h"
 #include "platform/Names.h"
 
 namespace pollenyoke::gateway
@@ -182,6 +183,10 @@
   {
     async_io::append_field(out, names::last_event, std::to_string(*resume_after));
   }
+  const urgency_input urgency{.continues_stream = resume_after.has_value(),
+                              .waited = m_context.longest_time[m_request.route->name] - time_left(),
+                              .objective = m_request.route->objective};
+  async_io::append_field(out, names::request_priority, std::to_string(choose_rank(urgency)));
   const auto left = std::max<std::int64_t>(1, time_left().count());
   async_io::append_field(out, names::time_left_ms, std::to_string(left));
   async_io::append_field(out, names::expected_server, choice.id);
--- a/Source/UnitTests/Gateway/DecisionsTest.cpp
+++ b/Source/UnitTests/Gateway/DecisionsTest.cpp
@@ -9,6 +9,7 @@
 #include "Gateway/RepeatBudget.h"
 #include "Gateway/RetryRule.h"
 #include "Gateway/RouteTable.h"
+#include "Gateway/UrgencyRule.h"
 #include "Gateway/VersionRule.h"
 
 namespace
@@ -47,6 +48,7 @@
   CPPUNIT_TEST(longest_prefix_of_the_host_wins);
   CPPUNIT_TEST(keys_decide_about_teams);
   CPPUNIT_TEST(split_follows_the_weights);
+  CPPUNIT_TEST(moved_streams_come_first_and_late_requests_last);
   CPPUNIT_TEST(retry_keeps_promises);
   CPPUNIT_TEST(budget_bounds_repeats_of_all_entries);
   CPPUNIT_TEST(events_are_passed_on_whole_and_once);
@@ -95,6 +97,19 @@
     CPPUNIT_ASSERT(choose_service(route, 0.95) == "c");
   }
 
+  /// Guards against streams that pause too long at the server to which they move, behind requests
+  /// that could wait.
+  void moved_streams_come_first_and_late_requests_last()
+  {
+    const urgency_input moved{
+        .continues_stream = true, .waited = milliseconds(3000), .objective = milliseconds(400)};
+    const urgency_input fresh{.waited = milliseconds(30), .objective = milliseconds(400)};
+    const urgency_input late{.waited = milliseconds(700), .objective = milliseconds(400)};
+    CPPUNIT_ASSERT(choose_rank(moved) < choose_rank(fresh));
+    CPPUNIT_ASSERT(choose_rank(fresh) < choose_rank(late));
+    CPPUNIT_ASSERT(choose_rank(late) <= 9);
+  }
+
   /// Guards against a request that runs twice, and against "not run" said of one that may have run.
   void retry_keeps_promises()
   {
