--- a/Source/UnitTests/Membership/MembershipTest.cpp
+++ b/Source/UnitTests/Membership/MembershipTest.cpp
@@ -545,6 +545,28 @@
                          parse_host_list(format_host_list(*a.members->current_host_list()))->etag);
   }
 
+  /// An entry whose relays were all silent subscribes by itself, which a busy machine brings about;
+  /// no other entry beside the direct watchers may. Subscriptions last longer than this waits.
+  static void check_subscribers(const process& agent,
+                                const std::vector<std::unique_ptr<process>>& entries)
+  {
+    std::size_t subscribers = 0;
+    std::size_t expected = 0;
+    const bool planned = eventually(
+        [&]
+        {
+          subscribers = agent.members->dump()["subscribers"].get<std::size_t>();
+          expected = direct_watchers;
+          for (const auto& one : entries)
+          {
+            expected += one->members->dump()["relays_bypassed"].get<std::size_t>();
+          }
+          return subscribers == expected;
+        });
+    CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(subscribers) + " subscribers, not " + std::to_string(expected), planned);
+  }
+
   // Guards against entries that do not see an agent of a small service, or see it late or alive
   // after its death, because another entry passes its heartbeats on.
   void relayed_agent_is_seen_by_all_entries()
@@ -575,23 +597,7 @@
           });
     };
     CPPUNIT_ASSERT(all_see([](const peer& one) { return one.alive; }));
-    // An entry whose relays were all silent subscribes by itself, which a busy machine brings
-    // about; no other entry may. Subscriptions last longer than this waits.
-    std::size_t subscribers = 0;
-    std::size_t expected = 0;
-    const auto as_planned = [&]
-    {
-      subscribers = agent.members->dump()["subscribers"].get<std::size_t>();
-      expected = direct_watchers;
-      for (const auto& one : all)
-      {
-        expected += one->members->dump()["relays_bypassed"].get<std::size_t>();
-      }
-      return subscribers == expected;
-    };
-    const bool planned = eventually(as_planned);
-    CPPUNIT_ASSERT_MESSAGE(
-        std::to_string(subscribers) + " subscribers, not " + std::to_string(expected), planned);
+    check_subscribers(agent, all);
     protocol::heartbeat changed;
     changed.leaving = true;
     changed.serving = {{"quoter", "3"}};
--- a/Source/UnitTests/Rollout/PieceScheduleTest.cpp
+++ b/Source/UnitTests/Rollout/PieceScheduleTest.cpp
@@ -571,10 +571,10 @@
   void empty_engines_leave_the_link_to_the_pieces()
   {
     piece_schedule schedule(pieces, 1, swarm::start());
-    std::vector<plan_host> hosts;
-    for (int i = 0; i < 12; ++i)
+    std::vector<plan_host> hosts(12);
+    for (std::size_t i = 0; i < hosts.size(); ++i)
     {
-      hosts.push_back({"host-" + std::to_string(i), "east"});
+      hosts[i] = {"host-" + std::to_string(i), "east"};
     }
     schedule.set_plan(piece_plan(hosts, "host-0"));
     for (const plan_host& host : hosts)
