--- a/Source/Core/Rollout/PieceFetcher.cpp
+++ b/Source/Core/Rollout/PieceFetcher.cpp
@@ -67,11 +67,16 @@
 
 void piece_fetcher::start()
 {
-  m_relays = m_environment.relays ? m_environment.relays() : std::vector<plan_host>{};
+  m_relays = live_relays();
   ask_relays();
   ask_manifest();
 }
 
+std::vector<plan_host> piece_fetcher::live_relays() const
+{
+  return m_environment.relays ? m_environment.relays() : std::vector<plan_host>{};
+}
+
 void piece_fetcher::stop()
 {
   m_stopped = true;
@@ -208,7 +213,7 @@
     m_hosts = std::move(hosts);
     m_schedule->set_plan(piece_plan(m_hosts, m_environment.self));
   }
-  auto relays = m_environment.relays ? m_environment.relays() : std::vector<plan_host>{};
+  auto relays = live_relays();
   if (relays != m_relays)
   {
     m_relays = std::move(relays);
--- a/Source/Core/Rollout/PieceFetcher.h
+++ b/Source/Core/Rollout/PieceFetcher.h
@@ -77,6 +77,7 @@
   peers::piece_announcement announcement() const;
 
 private:
+  std::vector<plan_host> live_relays() const;
   async_io::http_call manifest_source();
   void ask_manifest();
   void take_manifest(const result<async_io::http_response>& answer);
