Rollout, Node: an entry keeps two versions of each model; one function finds the origin

Cause: the two newest versions were kept over all models, so that on a site with several models each pushed out the others' versions. Change: two versions of each model. Both roles find the origin of weights in a configuration through one function. Test: Rollout.PieceRelay models_do_not_push_each_other_out (404 before).

--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -178,12 +178,9 @@
       m_rollout.set_model(m_model, service->second.engine->chunks);
       m_backlog.set_rate(service->second.engine->prompt_tokens_per_s);
     }
-    for (const auto& [name, other] : config.services)
+    if (const auto* origin = find_origin(config))
     {
-      if (other.origin)
-      {
-        m_origin = *other.origin;
-      }
+      m_origin = *origin->origin;
     }
     name_own_version();
   }
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -124,15 +124,12 @@
     return settled ? std::move(entries) : std::vector<rollout::plan_host>{};
   }
 
-  void find_origin(const protocol::serving_config& config)
+  void take_origin(const protocol::serving_config& config)
   {
-    for (const auto& [name, service] : config.services)
+    if (const auto* origin = find_origin(config))
     {
-      if (service.origin)
-      {
-        const auto region = m_settings.domains.find(service.origin_domain);
-        m_origin = {*service.origin, region == m_settings.domains.end() ? "" : region->second};
-      }
+      const auto region = m_settings.domains.find(origin->origin_domain);
+      m_origin = {*origin->origin, region == m_settings.domains.end() ? "" : region->second};
     }
   }
 
@@ -160,7 +157,7 @@
     }
     if (auto* config = std::get_if<protocol::serving_config>(&*record))
     {
-      find_origin(*config);
+      take_origin(*config);
       m_gateway.set_config(std::move(*config));
     }
     if (const auto* version = std::get_if<protocol::named_version>(&*record))
--- a/Source/Core/Node/OperatorRecords.cpp
+++ b/Source/Core/Node/OperatorRecords.cpp
@@ -1,5 +1,7 @@
 #include "Node/OperatorRecords.h"
 
+#include <algorithm>
+
 #include "Common/Log.h"
 
 namespace pollenyoke::node
@@ -21,4 +23,11 @@
   return std::move(*record);
 }
 
+const protocol::service* find_origin(const protocol::serving_config& config)
+{
+  const auto found = std::find_if(config.services.begin(), config.services.end(),
+                                  [](const auto& item) { return item.second.origin.has_value(); });
+  return found == config.services.end() ? nullptr : &found->second;
+}
+
 } // namespace pollenyoke::node
--- a/Source/Core/Node/OperatorRecords.h
+++ b/Source/Core/Node/OperatorRecords.h
@@ -12,4 +12,7 @@
 /// read, which is logged; what is in force stays.
 std::optional<platform::operator_record> read_operator_record(const state_feed::record& change);
 
+/// The service that is the origin of weights; null if the configuration names none.
+const protocol::service* find_origin(const protocol::serving_config& config);
+
 } // namespace pollenyoke::node
--- a/Source/Core/Rollout/PieceRelay.cpp
+++ b/Source/Core/Rollout/PieceRelay.cpp
@@ -1,6 +1,5 @@
 #include "Rollout/PieceRelay.h"
 
-#include <algorithm>
 #include <optional>
 
 #include "Common/Log.h"
@@ -17,7 +16,8 @@
 
 using std::chrono::milliseconds;
 
-// The version that engines serve and the next one: hosts that come later ask for either.
+// Of each model the version that engines serve and the next one: hosts that come later ask for
+// either.
 constexpr std::size_t kept_versions = 2;
 // Reads that fall due or may be tried again begin this late at most: half of the origin's pace.
 constexpr milliseconds tick_interval{13};
@@ -317,36 +317,32 @@
 piece_relay::~piece_relay()
 {
   // Pending timers keep a version alive.
-  for (const auto& [key, version] : m_versions)
+  for (const auto& [model, versions] : m_models)
   {
-    version->stop();
+    for (const auto& [number, version] : versions)
+    {
+      version->stop();
+    }
   }
 }
 
-/// Null for a version that is older than those kept.
+/// Null for a version that is older than those kept of the model.
 std::shared_ptr<piece_relay::weights> piece_relay::open(const std::string& model,
                                                         std::uint64_t version)
 {
-  auto& found = m_versions[{model, version}];
+  auto& versions = m_models[model];
+  auto& found = versions[version];
   if (!found)
   {
     found = std::make_shared<weights>(m_environment, model, version);
-    drop_old_versions();
-  }
-  const auto kept = m_versions.find({model, version});
-  return kept == m_versions.end() ? nullptr : kept->second;
-}
-
-void piece_relay::drop_old_versions()
-{
-  while (m_versions.size() > kept_versions)
-  {
-    const auto oldest = std::min_element(m_versions.begin(), m_versions.end(),
-                                         [](const auto& a, const auto& b)
-                                         { return a.first.second < b.first.second; });
-    oldest->second->stop();
-    m_versions.erase(oldest);
+    while (versions.size() > kept_versions)
+    {
+      versions.begin()->second->stop();
+      versions.erase(versions.begin());
+    }
   }
+  const auto kept = versions.find(version);
+  return kept == versions.end() ? nullptr : kept->second;
 }
 
 void piece_relay::take_announcement(const peers::piece_announcement& news)
--- a/Source/Core/Rollout/PieceRelay.h
+++ b/Source/Core/Rollout/PieceRelay.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "AsyncIo/HttpCaller.h"
@@ -59,10 +58,9 @@
   struct weights;
 
   std::shared_ptr<weights> open(const std::string& model, std::uint64_t version);
-  void drop_old_versions();
 
   relay_environment m_environment;
-  std::map<std::pair<std::string, std::uint64_t>, std::shared_ptr<weights>> m_versions;
+  std::map<std::string, std::map<std::uint64_t, std::shared_ptr<weights>>> m_models;
 };
 
 } // namespace pollenyoke::rollout
--- a/Source/UnitTests/Rollout/PieceRelayTest.cpp
+++ b/Source/UnitTests/Rollout/PieceRelayTest.cpp
@@ -148,6 +148,7 @@
   CPPUNIT_TEST(spoilt_piece_is_not_handed_on);
   CPPUNIT_TEST(caller_is_told_that_the_origin_is_awaited);
   CPPUNIT_TEST(announcement_reads_the_share);
+  CPPUNIT_TEST(models_do_not_push_each_other_out);
   CPPUNIT_TEST(questions_that_cannot_be_answered_end_at_once);
   CPPUNIT_TEST_SUITE_END();
 
@@ -220,12 +221,14 @@
   unsigned m_silent_manifests = 0;
   std::vector<http_listener::responder> m_held;
   std::map<std::string, unsigned> m_reads;
+  std::map<std::string, unsigned> m_manifests;
   std::vector<simple_answer> m_answers;
   http_listener m_origin{
       m_loop, [this](const message_head& head, const http_listener::responder& respond)
       {
         if (path_of(head.target).starts_with("/v1/manifest/"))
         {
+          ++m_manifests[std::string(path_of(head.target))];
           if (m_silent_manifests > 0)
           {
             --m_silent_manifests;
@@ -320,6 +323,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{m_count}, m_reads.size());
   }
 
+  /// Guards against a site with several models, each of whose versions would be read again and
+  /// again.
+  void models_do_not_push_each_other_out()
+  {
+    auto relay = make_relay();
+    ask(relay, "/manifest?model=m&version=2", 1);
+    run();
+    for (const char* other : {"a", "b", "c"})
+    {
+      relay.take_announcement({.model = other, .version = 9, .states = {}, .wants_answer = true});
+    }
+    ask(relay, "/manifest?model=m&version=2", 2);
+    if (m_answers.size() < 2)
+    {
+      run();
+    }
+    CPPUNIT_ASSERT_EQUAL(200U, m_answers.at(1).status);
+    CPPUNIT_ASSERT_EQUAL(1U, m_manifests["/v1/manifest/m"]);
+  }
+
   void questions_that_cannot_be_answered_end_at_once()
   {
     auto relay = make_relay();
