Rollout: an entry works out its share of the pieces once for each set of entries

Cause: begin_reads() ranked all entries for each piece that was not held, at every tick of 13 ms and at every request, although the ranks change only with the set of entries: about 43 of 48 pieces are not an entry's own. Change: set_plan() keeps for each piece whether it is this entry's and whom to ask. What is read, and when, stays the same. Checks: Rollout.PieceSchedule, RelayPlan and PieceRelay in release; lint of the sources.

--- a/Source/Core/Rollout/RelaySchedule.cpp
+++ b/Source/Core/Rollout/RelaySchedule.cpp
@@ -25,9 +25,15 @@
 {
 }
 
-void relay_schedule::set_plan(relay_plan plan)
+void relay_schedule::set_plan(const relay_plan& plan)
 {
-  m_plan = std::move(plan);
+  m_is_known = !plan.is_empty();
+  for (std::uint32_t piece = 0; piece < m_pieces.size(); ++piece)
+  {
+    const auto relays = plan.relays(piece);
+    m_pieces[piece].is_own_share = !relays.empty() && relays.front() == m_self;
+    m_pieces[piece].sources = plan.sources(piece);
+  }
 }
 
 void relay_schedule::want(std::uint32_t piece, bool from_origin)
@@ -41,12 +47,6 @@
   m_pieces[piece].wanted = false;
 }
 
-bool relay_schedule::is_own_share(std::uint32_t piece) const
-{
-  const auto relays = m_plan.relays(piece);
-  return !relays.empty() && relays.front() == m_self;
-}
-
 std::string relay_schedule::source_of(std::uint32_t piece) const
 {
   const piece_view& view = m_pieces[piece];
@@ -54,14 +54,13 @@
   {
     return {};
   }
-  const auto sources = m_plan.sources(piece);
-  return view.failures < sources.size() ? sources[view.failures] : std::string{};
+  return view.failures < view.sources.size() ? view.sources[view.failures] : std::string{};
 }
 
 std::vector<piece_read> relay_schedule::begin_reads(time_point now)
 {
   std::vector<piece_read> reads;
-  if (m_plan.is_empty())
+  if (!m_is_known)
   {
     return reads;
   }
@@ -73,7 +72,7 @@
       continue;
     }
     const bool turn = now >= m_started + origin_pace * static_cast<int>(piece);
-    if (!view.wanted && !(turn && is_own_share(piece)))
+    if (!view.wanted && !(turn && view.is_own_share))
     {
       continue;
     }
--- a/Source/Core/Rollout/RelaySchedule.h
+++ b/Source/Core/Rollout/RelaySchedule.h
@@ -23,7 +23,7 @@
 
   relay_schedule(std::uint32_t pieces, std::string self, time_point started);
 
-  void set_plan(relay_plan plan);
+  void set_plan(const relay_plan& plan);
   /// Somebody waits for the piece. `from_origin`: an entry of another region, which relies on this
   /// one to read the origin.
   void want(std::uint32_t piece, bool from_origin);
@@ -38,6 +38,10 @@
 private:
   struct piece_view
   {
+    /// This entry reads it unasked.
+    bool is_own_share = false;
+    /// Entries of the origin's region that are asked for it, in order.
+    std::vector<std::string> sources;
     bool held = false;
     bool reading = false;
     bool wanted = false;
@@ -46,10 +50,10 @@
     time_point not_before{};
   };
 
-  bool is_own_share(std::uint32_t piece) const;
   std::string source_of(std::uint32_t piece) const;
 
-  relay_plan m_plan;
+  /// The plan names entries of this region.
+  bool m_is_known = false;
   std::vector<piece_view> m_pieces;
   std::string m_self;
   time_point m_started;
