StateFeed: a process without state does not slow down

The pause between tries doubled to 1 s although no configuration was in force, and peers were asked every 0.7 s only. Change: without state of a topic, tries follow every 0.25 s and each failed one asks a peer. Both tests fail on the code before.

--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -111,6 +111,11 @@
   {
     return m_operator.state.next_offset();
   }
+  /// Pause before the next try after a failed read of the operator's records.
+  std::chrono::milliseconds operator_retry() const
+  {
+    return m_operator.retry;
+  }
 
   void serve_changes(record_topic topic, std::uint64_t offset, const std::string& left_out,
                      topic_relay::responder respond)
@@ -235,7 +240,11 @@
     if (!good)
     {
       pause = topic.retry;
-      topic.retry = std::min(topic.retry * 2, longest_retry);
+      // A process without state serves nothing: it keeps trying at the shortest interval.
+      if (topic.state.is_known())
+      {
+        topic.retry = std::min(topic.retry * 2, longest_retry);
+      }
     }
     else
     {
@@ -256,7 +265,7 @@
         topic.resync = true;
         return true;
       }
-      note_failure(page.error());
+      note_failure(topic, page.error());
       return false;
     }
     if (m_store_lost)
@@ -283,7 +292,7 @@
     return true;
   }
 
-  void note_failure(const error& failure)
+  void note_failure(const follower& topic, const error& failure)
   {
     if (!m_store_lost)
     {
@@ -291,7 +300,10 @@
       log_warning(log_category::log, "store does not answer; state comes from peers",
                   {{"reason", failure.message}});
     }
-    ask_peer();
+    if (!m_asking || !topic.state.is_known())
+    {
+      ask_peer();
+    }
   }
 
   /// Peers have newer records and the present call has not delivered them: its connection may be
@@ -305,7 +317,10 @@
     }
     log_warning(log_category::log, "behind the operator's records of peers",
                 {{"offset", m_operator.state.next_offset()}, {"peer_offset", m_peer_offset}});
-    ask_peer();
+    if (!m_asking)
+    {
+      ask_peer();
+    }
     m_operator.direct_until = now() + direct_time;
     step(m_operator);
     m_behind = true;
@@ -314,10 +329,6 @@
 
   void ask_peer()
   {
-    if (m_asking)
-    {
-      return;
-    }
     m_asking = true;
     m_peer_timer.start(peer_interval,
                        [this]
--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -65,6 +65,8 @@
   CPPUNIT_TEST(reader_with_old_state_is_passed_over);
   CPPUNIT_TEST(peer_that_is_ahead_ends_a_silent_read);
   CPPUNIT_TEST(short_outage_lets_no_record_lapse);
+  CPPUNIT_TEST(process_without_state_does_not_slow_down);
+  CPPUNIT_TEST(peers_are_asked_as_often_as_the_store_without_state);
   CPPUNIT_TEST_SUITE_END();
 
   async_io::event_loop m_loop;
@@ -277,6 +279,40 @@
     CPPUNIT_ASSERT_EQUAL(std::string("-"), m_records["s1"]);
     CPPUNIT_ASSERT(!m_lapsed);
   }
+
+  /// Guards against a process that serves nothing for up to a second after the store is back: the
+  /// pause between its tries grew although it had no configuration yet.
+  void process_without_state_does_not_slow_down()
+  {
+    auto feed = make_feed(false);
+    feed.start();
+    for (int tries = 0; tries < 4; ++tries)
+    {
+      CPPUNIT_ASSERT_EQUAL(first_retry.count(), feed.operator_retry().count());
+      CPPUNIT_ASSERT_EQUAL(std::string("newest op"), m_store.next_call());
+      m_store.answer(fail(error_code::closed, "reset"));
+      run_until_call();
+    }
+    m_store.answer(page({{"config", "1", 0}}, 1));
+    run_until_call();
+    m_store.answer(fail(error_code::closed, "reset"));
+    // With a configuration in force, tries may wait longer.
+    CPPUNIT_ASSERT(feed.operator_retry() > first_retry);
+  }
+
+  /// Guards against a process that hears of its peers' configuration late because the store
+  /// answers for another topic.
+  void peers_are_asked_as_often_as_the_store_without_state()
+  {
+    auto feed = make_feed(false);
+    feed.start();
+    for (int tries = 1; tries <= 4; ++tries)
+    {
+      m_store.answer(fail(error_code::closed, "reset"));
+      CPPUNIT_ASSERT_EQUAL(tries, m_peer_calls);
+      run_until_call();
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(state_follower_test, "StateFeed.Follower");
