Peers: greetings tell of one process only

Change: a process that greets all hosts of the store's list tells of itself and is answered alike; one that could not read the list is still told of all. Test: greetings_of_all_leave_room_on_the_links.

--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -87,13 +87,6 @@
                        [this] { gossip(); });
 }
 
-peers::gossip_message peer_service::make_gossip(async_io::time_point now)
-{
-  auto message = m_table.make_message(m_handlers.operator_offset(), now);
-  message.versions = m_handlers.version_ages();
-  return message;
-}
-
 void peer_service::send_gossip()
 {
   send_gossip_to(m_table.choose_targets(std::chrono::steady_clock::now()));
@@ -101,7 +94,19 @@
 
 void peer_service::send_gossip_to(const std::vector<std::string>& hosts)
 {
-  const std::string datagram = peers::encode_message(make_gossip(std::chrono::steady_clock::now()));
+  send_to(hosts,
+          m_table.make_message(m_handlers.operator_offset(), std::chrono::steady_clock::now()));
+}
+
+void peer_service::greet(const std::vector<std::string>& hosts)
+{
+  send_to(hosts, m_table.make_greeting(m_handlers.operator_offset()));
+}
+
+void peer_service::send_to(const std::vector<std::string>& hosts, peers::gossip_message message)
+{
+  message.versions = m_handlers.version_ages();
+  const std::string datagram = peers::encode_message(message);
   for (const std::string& ip : hosts)
   {
     m_udp.send(datagram, {ip, m_settings.peer_port});
@@ -112,12 +117,12 @@
 {
   m_table.set_leaving();
   // All entries hear of it at once, so that lookups stop naming this process.
-  const auto now = std::chrono::steady_clock::now();
-  const std::string datagram = peers::encode_message(make_gossip(now));
+  std::vector<std::string> entries;
   for (const auto& entry : live(peers::peer_role::entry))
   {
-    m_udp.send(datagram, {entry.ip, m_settings.peer_port});
+    entries.push_back(entry.ip);
   }
+  greet(entries);
 }
 
 void peer_service::set_has_engine(bool has_engine)
@@ -139,10 +144,15 @@
   }
   if (const auto* gossip = std::get_if<peers::gossip_message>(&*message))
   {
-    // A process that has just started knows few others; the answer tells it of all.
+    // A process that has just started knows few others. One that could not read the list of hosts
+    // is told of all.
     const bool newcomer = m_table.is_newcomer(*gossip, from.ip);
     m_table.merge(*gossip, std::chrono::steady_clock::now());
-    if (newcomer)
+    if (newcomer && gossip->greets_all)
+    {
+      greet({from.ip});
+    }
+    else if (newcomer)
     {
       send_gossip_to({from.ip});
     }
@@ -372,7 +382,7 @@
   if (!m_has_greeted)
   {
     m_has_greeted = true;
-    send_gossip_to(m_table.others());
+    greet(m_table.others());
   }
 }
 
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -71,9 +71,11 @@
 
 private:
   void gossip();
-  peers::gossip_message make_gossip(async_io::time_point now);
   void send_gossip();
   void send_gossip_to(const std::vector<std::string>& hosts);
+  /// Tells these hosts of this process only.
+  void greet(const std::vector<std::string>& hosts);
+  void send_to(const std::vector<std::string>& hosts, peers::gossip_message message);
   void receive(std::string_view datagram, const transport::endpoint& from);
   void serve(const async_io::message_head& head, const async_io::http_listener::responder& respond);
   void serve_changes(const async_io::message_head& head,
--- a/Source/Core/Peers/PeerMessages.h
+++ b/Source/Core/Peers/PeerMessages.h
@@ -60,11 +60,13 @@
   std::vector<version_age> versions;
   /// The sender has applied the operator's records up to this offset.
   std::uint64_t operator_offset = 0;
+  /// The sender greets all hosts: an answer need only tell of the one that answers.
+  bool greets_all = false;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(peers, versions, operator_offset);
+    archive(peers, versions, operator_offset, greets_all);
   }
 };
 
--- a/Source/Core/Peers/PeerTable.cpp
+++ b/Source/Core/Peers/PeerTable.cpp
@@ -107,6 +107,15 @@
   return message;
 }
 
+gossip_message peer_table::make_greeting(std::uint64_t operator_offset) const
+{
+  gossip_message message;
+  message.operator_offset = operator_offset;
+  message.greets_all = true;
+  message.peers.push_back(m_self);
+  return message;
+}
+
 std::vector<std::string> peer_table::choose_targets(time_point now)
 {
   std::vector<std::string> near;
--- a/Source/Core/Peers/PeerTable.h
+++ b/Source/Core/Peers/PeerTable.h
@@ -42,6 +42,9 @@
   /// Adds a process that another source names; it counts as live only once it is heard of.
   void add_candidate(const std::string& ip);
   gossip_message make_message(std::uint64_t operator_offset, time_point now);
+  /// Tells of this process only. Load pattern: after a loss of power each of 170 processes greets
+  /// all others and is answered; with all that each knows that would be 70 MB in half a second.
+  gossip_message make_greeting(std::uint64_t operator_offset) const;
   /// The sender of a message has started and this process had not heard of it.
   bool is_newcomer(const gossip_message& message, const std::string& sender) const;
   /// All other hosts, heard of or not.
--- a/Source/UnitTests/Peers/PeerTableTest.cpp
+++ b/Source/UnitTests/Peers/PeerTableTest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(news_reach_sixty_processes_within_six_rounds);
   CPPUNIT_TEST(load_report_crosses_a_regional_link_once);
   CPPUNIT_TEST(greeting_is_answered_once);
+  CPPUNIT_TEST(greetings_of_all_leave_room_on_the_links);
   CPPUNIT_TEST(silent_process_is_not_live_and_comes_back);
   CPPUNIT_TEST(leaving_process_is_not_named);
   CPPUNIT_TEST(old_news_of_an_earlier_run_change_nothing);
@@ -120,6 +121,27 @@
     CPPUNIT_ASSERT(old.is_newcomer({.peers = {again}}, ip(2)));
   }
 
+  /// Guards against greetings that fill the regional links after a loss of power: 170 processes in
+  /// three regions greet each other within half a second. The bound is a quarter of a second of a
+  /// link of 32 Mbit/s, over which a ninth of the messages goes.
+  void greetings_of_all_leave_room_on_the_links()
+  {
+    constexpr std::size_t processes = 170;
+    constexpr std::size_t link_bytes = 1'000'000;
+    const peer_table::time_point now{};
+    peer_table table(entry("10.100.100.100", ~std::uint64_t{0}), {}, 1);
+    for (std::size_t i = 0; i < processes; ++i)
+    {
+      table.merge({.peers = {entry(ip(i))}}, now);
+    }
+    const auto greeting = table.make_greeting(7);
+    CPPUNIT_ASSERT(greeting.greets_all);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, greeting.peers.size());
+    // A greeting, its answer, and the answer to that.
+    const std::size_t sent = processes * (processes - 1) * 3 * encode_message(greeting).size();
+    CPPUNIT_ASSERT(sent / 9 <= link_bytes);
+  }
+
   void silent_process_is_not_live_and_comes_back()
   {
     peer_table table(entry("10.0.0.1"), {}, 1);
