Rollout: manifests by plan, fewer announcements, pieces leave room on the entries' links

Change: two entries of each region ask beyond it for the manifest. An agent tells its region, and twelve others by turns. Pieces use seven tenths of an entry's link, those for entries of other regions first. Tests: few_entries_ask_the_origin_for_the_manifest, announcements_reach_few_hosts, pieces_leave_room_on_the_link.

--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -342,10 +342,8 @@
           ? 0
           : arrivals->second.per_second(now) * static_cast<double>(m_entries) * blind_time_s;
   std::vector<double> ranks;
-  for (const candidate& item : candidates)
-  {
-    ranks.push_back(item.expected.rank_ms);
-  }
+  std::transform(candidates.begin(), candidates.end(), std::back_inserter(ranks),
+                 [](const candidate& item) { return item.expected.rank_ms; });
   const auto shares =
       fill_shares(ranks, std::max(1.0, unseen), added_wait_ms(find_service(request.service)));
   std::discrete_distribution<std::size_t> draw(shares.begin(), shares.end());
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -109,6 +109,7 @@
             .self = m_settings.ip,
             .region = m_settings.region,
             .peer_port = m_settings.peer_port,
+            .uplink_bytes_per_s = m_settings.link_mbit_per_s * 1e6 / 8 * rollout::relay_link_share,
             .entries = [this] { return settled_entries(); },
             .origin =
                 [this]
--- a/Source/Core/Rollout/PieceFetcher.cpp
+++ b/Source/Core/Rollout/PieceFetcher.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds change_interval{40};
 // Without a change, others are reminded that this host still wants pieces.
 constexpr milliseconds reminder_interval{250};
+// Hosts that are told beside those of the own region, by turns. All of 99 hosts that tell all
+// others 25 times a second send 30 MB a second, which fills the links between regions.
+constexpr std::size_t targets_by_turns = 12;
 // Entries read on for a host that has reminded them within three seconds.
 constexpr milliseconds relay_interval{500};
 constexpr milliseconds manifest_timeout{1500};
@@ -263,13 +266,32 @@
   }
   m_announced = news.states;
   m_announced_at = now;
+  for (const std::string& target : announcement_targets(m_schedule->is_served_by_relays(now)))
+  {
+    m_environment.announce(target, news);
+  }
+}
+
+std::vector<std::string> piece_fetcher::announcement_targets(bool served_by_relays)
+{
+  // While entries hand the pieces on, other hosts need to know little of this one.
+  std::vector<std::string> targets;
+  std::vector<std::string> by_turns;
   for (const plan_host& host : m_hosts)
   {
-    if (host.ip != m_environment.self)
+    if (host.ip == m_environment.self)
     {
-      m_environment.announce(host.ip, news);
+      continue;
     }
+    const bool always = !served_by_relays && host.region == m_environment.region;
+    (always ? targets : by_turns).push_back(host.ip);
+  }
+  const std::size_t turns = std::min(by_turns.size(), targets_by_turns);
+  for (std::size_t i = 0; i < turns; ++i)
+  {
+    targets.push_back(by_turns[m_next_target++ % by_turns.size()]);
   }
+  return targets;
 }
 
 void piece_fetcher::ask_relays()
--- a/Source/Core/Rollout/PieceFetcher.h
+++ b/Source/Core/Rollout/PieceFetcher.h
@@ -99,6 +99,8 @@
   void take_piece(const piece_read& read, const result<async_io::http_response>& answer);
   read_end keep_piece(const piece_read& read, const result<async_io::http_response>& answer);
   void announce_if_due();
+  /// Who is told of this host's pieces now.
+  std::vector<std::string> announcement_targets(bool served_by_relays);
   /// Tells the entries of this region that this host fetches the version.
   void ask_relays();
 
@@ -117,6 +119,8 @@
   fetch_counts m_counts;
   std::vector<peers::piece_state> m_announced;
   async_io::time_point m_announced_at{};
+  /// Host with which the next round of announcements goes on.
+  std::size_t m_next_target = 0;
   async_io::time_point m_relays_asked_at{};
   unsigned m_manifest_tries = 0;
   unsigned m_mismatches = 0;
--- a/Source/Core/Rollout/PieceRelay.cpp
+++ b/Source/Core/Rollout/PieceRelay.cpp
@@ -1,5 +1,6 @@
 #include "Rollout/PieceRelay.h"
 
+#include <algorithm>
 #include <optional>
 
 #include "Common/Log.h"
@@ -27,14 +28,16 @@
 // A caller that waits longer is told to come back, so that it can tell a waiting entry from a dead
 // one.
 constexpr milliseconds longest_hold{400};
-// A manifest of 3.3 KB takes a few ms, and 35 ms when 20 entries ask for it at once. A source that
-// has not answered by then hangs; the next one is asked.
+// A manifest of 3.3 KB takes a few ms, but waits behind the pieces that the origin's link sends, 26
+// ms each. An origin that has not answered by then hangs; the next source is asked.
 constexpr milliseconds manifest_timeout{300};
 constexpr milliseconds manifest_retry{50};
 // The origin's link sends two pieces for each of 20 entries in 1.05 s.
 constexpr milliseconds origin_timeout{1500};
 // Another entry holds a request for 0.4 s before it answers "not yet".
 constexpr milliseconds entry_timeout{1000};
+// Two pieces may leave at once.
+constexpr double uplink_burst_bytes = 2 * 49152;
 // Spoilt pieces in a row point to a spoilt manifest.
 constexpr unsigned mismatches_per_manifest = 3;
 
@@ -53,12 +56,15 @@
     async_io::http_listener::responder respond;
   };
 
-  weights(relay_environment& environment, std::string of_model, std::uint64_t of_version)
-      : with(environment), model(std::move(of_model)), version(of_version), timer(with.loop)
+  weights(relay_environment& environment, token_bucket& uplink_of_all, std::string of_model,
+          std::uint64_t of_version)
+      : with(environment), uplink(uplink_of_all), model(std::move(of_model)), version(of_version),
+        timer(with.loop)
   {
   }
 
   relay_environment& with;
+  token_bucket& uplink;
   std::string model;
   std::uint64_t version;
   std::string manifest;
@@ -110,33 +116,25 @@
     timer.start(tick_interval, [self = shared_from_this()] { self->tick(); });
   }
 
-  /// The origin and another entry by turns.
   async_io::http_call manifest_source()
   {
-    const auto live = with.entries();
-    const unsigned tries = manifest_tries++;
-    if (tries % 2 == 1 && !live.empty())
-    {
-      const std::uint64_t turn = stable_hash(with.self) + tries;
-      const std::string& other = live[turn % live.size()].ip;
-      if (other != with.self)
-      {
-        return peer_manifest_call({other, with.peer_port}, model, version);
-      }
-    }
-    return platform::manifest_call(with.origin().address, model, version);
+    const relay_plan plan(with.entries(), with.region, with.origin().region);
+    const auto sources = plan.manifest_sources(with.self);
+    const std::string& source = sources[manifest_tries++ % sources.size()];
+    auto call = source.empty() ? platform::manifest_call(with.origin().address, model, version)
+                               : peer_manifest_call({source, with.peer_port}, model, version);
+    call.timeout = source.empty() ? manifest_timeout : entry_timeout;
+    return call;
   }
 
   void ask_manifest()
   {
-    if (asking_manifest)
+    if (asking_manifest || with.entries().empty())
     {
       return;
     }
     asking_manifest = true;
-    auto call = manifest_source();
-    call.timeout = manifest_timeout;
-    with.caller.call(std::move(call),
+    with.caller.call(manifest_source(),
                      [self = shared_from_this()](const result<async_io::http_response>& answer)
                      { self->take_manifest(answer); });
   }
@@ -255,8 +253,11 @@
   void answer_waiting()
   {
     const auto now = std::chrono::steady_clock::now();
-    const auto callers = std::move(waiting);
+    auto callers = std::move(waiting);
     waiting.clear();
+    // An entry of another region waits for all hosts there.
+    std::stable_partition(callers.begin(), callers.end(),
+                          [](const waiting_caller& caller) { return caller.from_origin; });
     for (const waiting_caller& caller : callers)
     {
       if (!answer(caller, now))
@@ -280,12 +281,16 @@
         caller.respond({.status = 404});
         return true;
       }
-      if (const std::string* bytes = pieces->get(caller.piece))
+      const std::string* bytes = pieces->get(caller.piece);
+      if (bytes != nullptr && uplink.try_take(static_cast<double>(bytes->size()), now))
       {
         caller.respond({200, "application/octet-stream", *bytes});
         return true;
       }
-      schedule->want(caller.piece, caller.from_origin);
+      if (bytes == nullptr)
+      {
+        schedule->want(caller.piece, caller.from_origin);
+      }
     }
     if (now < caller.expires)
     {
@@ -312,7 +317,12 @@
   }
 };
 
-piece_relay::piece_relay(relay_environment environment) : m_environment(std::move(environment)) {}
+piece_relay::piece_relay(relay_environment environment)
+    : m_environment(std::move(environment)),
+      m_uplink(m_environment.uplink_bytes_per_s, uplink_burst_bytes,
+               std::chrono::steady_clock::now())
+{
+}
 
 piece_relay::~piece_relay()
 {
@@ -334,7 +344,7 @@
   auto& found = versions[version];
   if (!found)
   {
-    found = std::make_shared<weights>(m_environment, model, version);
+    found = std::make_shared<weights>(m_environment, m_uplink, model, version);
     while (versions.size() > kept_versions)
     {
       versions.begin()->second->stop();
--- a/Source/Core/Rollout/PieceRelay.h
+++ b/Source/Core/Rollout/PieceRelay.h
@@ -9,6 +9,7 @@
 
 #include "AsyncIo/HttpCaller.h"
 #include "AsyncIo/HttpListener.h"
+#include "Common/TokenBucket.h"
 #include "Peers/PeerMessages.h"
 #include "Rollout/PieceSet.h"
 #include "Rollout/RelaySchedule.h"
@@ -16,6 +17,10 @@
 namespace pollenyoke::rollout
 {
 
+/// Part of an entry's link for the pieces that it hands on. Answers to callers need the rest: on
+/// the narrowest links, of 28 Mbit/s, about a tenth.
+constexpr double relay_link_share = 0.7;
+
 /// Where the weights come from.
 struct weight_origin
 {
@@ -31,6 +36,8 @@
   std::string self;
   std::string region;
   std::uint16_t peer_port = 0;
+  /// Bytes per second that pieces may use of this entry's link.
+  double uplink_bytes_per_s = 1e9;
   /// Live entries, this one included; empty until this process knows the others.
   std::function<std::vector<plan_host>()> entries;
   /// Its port is 0 until it is known.
@@ -60,6 +67,7 @@
   std::shared_ptr<weights> open(const std::string& model, std::uint64_t version);
 
   relay_environment m_environment;
+  token_bucket m_uplink;
   std::map<std::string, std::map<std::uint64_t, std::shared_ptr<weights>>> m_models;
 };
 
--- a/Source/Core/Rollout/RelayPlan.h
+++ b/Source/Core/Rollout/RelayPlan.h
@@ -27,13 +27,15 @@
   bool is_empty() const;
   /// Entries of this region, in the order in which they are asked for the piece.
   std::vector<std::string> relays(std::uint32_t piece) const;
+  /// Who is asked for the manifest by the entry `self`, in order; an empty address is the origin.
+  std::vector<std::string> manifest_sources(const std::string& self) const;
   /// Entries of the origin's region, in the order in which this region's entries ask them for the
   /// piece; none if this region's entries read the origin themselves.
   std::vector<std::string> sources(std::uint32_t piece) const;
 
 private:
   std::vector<std::string> m_near;
-  /// In the origin's region, if that is another one.
+  /// In the origin's region, if that is another one; sorted as `m_near` by the caller.
   std::vector<std::string> m_at_origin;
 };
 
--- a/Source/UnitTests/Rollout/PieceFetcherTest.cpp
+++ b/Source/UnitTests/Rollout/PieceFetcherTest.cpp
@@ -1,4 +1,5 @@
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,6 +24,7 @@
 {
   CPPUNIT_TEST_SUITE(piece_fetcher_test);
   CPPUNIT_TEST(pieces_on_their_way_are_bounded);
+  CPPUNIT_TEST(announcements_reach_few_hosts);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string manifest()
@@ -35,6 +37,26 @@
     return R"({"model":"m","version":2,"chunk_bytes":9,"digests":[)" + digests + "]}";
   }
 
+  static bool is_manifest_call(const message_head& head)
+  {
+    return path_of(head.target).starts_with("/v1/manifest/");
+  }
+
+  /// An origin with a manifest only. Refused reads are repeated; the repeats count as well.
+  static void refuse_pieces(const message_head& head, const http_listener::responder& respond)
+  {
+    respond(is_manifest_call(head) ? simple_answer{200, "application/json", manifest()}
+                                   : simple_answer{.status = 503});
+  }
+
+  static piece_fetcher::handlers no_handlers()
+  {
+    return {.on_first_part = [] {},
+            .on_complete =
+                [] {
+                }};
+  }
+
 public:
   /// Guards against so many pieces on their way to one host that requests for its engine wait
   /// behind them for seconds where its link is narrow. The bound: 1.2 Mbit/s send 8 pieces of 49 KB
@@ -57,14 +79,8 @@
     http_listener origin(loop,
                          [&](const message_head& head, const http_listener::responder& respond)
                          {
-                           if (!path_of(head.target).starts_with("/v1/manifest/"))
-                           {
-                             // Refused reads are repeated; the repeats count as well.
-                             respond({.status = 503});
-                             return;
-                           }
-                           origin_asked = true;
-                           respond({200, "application/json", manifest()});
+                           origin_asked = origin_asked || is_manifest_call(head);
+                           refuse_pieces(head, respond);
                          });
     CPPUNIT_ASSERT(origin.listen({"127.0.0.1", 0}));
     const auto fetcher = std::make_shared<piece_fetcher>(
@@ -112,6 +128,61 @@
     CPPUNIT_ASSERT(open > 0);
     CPPUNIT_ASSERT(open <= 8);
   }
+
+  /// Guards against announcements that fill the regional links: 99 hosts that tell all others 25
+  /// times a second send 30 MB a second. Without entries a host tells its region, and few others at
+  /// a time; all of them hear of it by turns.
+  void announcements_reach_few_hosts()
+  {
+    constexpr int rounds = 9;
+    event_loop loop;
+    timer guard(loop);
+    http_caller caller(loop);
+    http_listener origin(loop, refuse_pieces);
+    CPPUNIT_ASSERT(origin.listen({"127.0.0.1", 0}));
+    std::vector<plan_host> hosts = {{"127.0.0.1", "east"}, {"127.0.0.2", "east"}};
+    for (int i = 0; i < 60; ++i)
+    {
+      hosts.push_back({"127.0.1." + std::to_string(i), "west"});
+    }
+    std::map<std::string, int> told;
+    const auto fetcher = std::make_shared<piece_fetcher>(
+        fetch_environment{.loop = loop,
+                          .caller = caller,
+                          .self = "127.0.0.1",
+                          .peer_port = 1,
+                          .region = "east",
+                          .hosts = [&] { return hosts; },
+                          .origin =
+                              [&] {
+                                return transport::endpoint{"127.0.0.1", origin.port()};
+                              },
+                          .announce =
+                              [&](const std::string& ip, const peers::piece_announcement&)
+                          {
+                            ++told[ip];
+                            if (told["127.0.0.2"] == rounds)
+                            {
+                              loop.stop();
+                            }
+                          }},
+        "m", 2, piece_range{},
+        piece_fetcher::handlers{.on_first_part = [] {},
+                                .on_complete =
+                                    [] {
+                                    }});
+    fetcher->start();
+    guard.start(std::chrono::seconds(30), [&] { loop.stop(); });
+    loop.run();
+    fetcher->stop();
+    CPPUNIT_ASSERT_EQUAL(rounds, told["127.0.0.2"]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{61}, told.size());
+    for (const auto& [ip, times] : told)
+    {
+      // A sixth of the rounds, and a part of the last one.
+      CPPUNIT_ASSERT(ip == "127.0.0.2" || times <= rounds / 5 + 1);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(piece_fetcher_test, "Rollout.PieceFetcher");
--- a/Source/UnitTests/Rollout/PieceRelayTest.cpp
+++ b/Source/UnitTests/Rollout/PieceRelayTest.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST_SUITE(relay_plan_test);
   CPPUNIT_TEST(each_piece_has_one_entry_in_each_region);
   CPPUNIT_TEST(missing_entry_changes_only_its_own_pieces);
+  CPPUNIT_TEST(few_entries_ask_the_origin_for_the_manifest);
   CPPUNIT_TEST(share_is_read_at_the_origins_pace);
   CPPUNIT_TEST(entry_of_another_region_asks_the_origins_region_first);
   CPPUNIT_TEST(nothing_is_read_before_the_entries_are_known);
@@ -78,6 +79,34 @@
     }
   }
 
+  /// Guards against 80 entries that all ask the origin for the manifest at once: it takes 77
+  /// connections, and the answers wait behind pieces until they time out.
+  void few_entries_ask_the_origin_for_the_manifest()
+  {
+    std::vector<plan_host> many;
+    many.reserve(81);
+    for (int i = 0; i < 81; ++i)
+    {
+      many.push_back({"10.0.0." + std::to_string(i),
+                      i % 3 == 0 ? "north" : "region " + std::to_string(i % 3)});
+    }
+    unsigned readers = 0;
+    for (const plan_host& entry : many)
+    {
+      const relay_plan plan(many, entry.region, "north");
+      const auto sources = plan.manifest_sources(entry.ip);
+      CPPUNIT_ASSERT(sources.back().empty());
+      readers += sources.front().empty() ? 1U : 0U;
+      // Nobody asks itself, and each source is nearer to the origin.
+      CPPUNIT_ASSERT(std::find(sources.begin(), sources.end(), entry.ip) == sources.end());
+      CPPUNIT_ASSERT(sources.size() <= 3);
+    }
+    CPPUNIT_ASSERT_EQUAL(2U, readers);
+    // A lone entry reads the origin itself.
+    const relay_plan lone(std::vector<plan_host>{{"10.0.0.1", "east"}}, "east", "north");
+    CPPUNIT_ASSERT(lone.manifest_sources("10.0.0.1") == std::vector<std::string>{""});
+  }
+
   /// Guards against an origin whose link sends all pieces side by side, so that none is there
   /// before the last, and against hosts of the second half that wait for the first one.
   void share_is_read_at_the_origins_pace()
@@ -153,15 +182,16 @@
   CPPUNIT_TEST(caller_is_told_that_the_origin_is_awaited);
   CPPUNIT_TEST(announcement_reads_the_share);
   CPPUNIT_TEST(models_do_not_push_each_other_out);
+  CPPUNIT_TEST(pieces_leave_room_on_the_link);
   CPPUNIT_TEST(questions_that_cannot_be_answered_end_at_once);
   CPPUNIT_TEST_SUITE_END();
 
-  static std::string bytes_of(std::uint32_t piece)
+  std::string bytes_of(std::uint32_t piece) const
   {
-    return "piece " + std::to_string(piece);
+    return "piece " + std::to_string(piece) + std::string(m_padding, '.');
   }
 
-  static std::string manifest(std::uint32_t count)
+  std::string manifest(std::uint32_t count) const
   {
     std::string digests;
     for (std::uint32_t piece = 0; piece < count; ++piece)
@@ -183,6 +213,7 @@
                         .self = "127.0.0.1",
                         .region = "east",
                         .peer_port = 1,
+                        .uplink_bytes_per_s = m_uplink_bytes_per_s,
                         .entries =
                             [] {
                               return std::vector<plan_host>{{"127.0.0.1", "east"}};
@@ -220,6 +251,8 @@
   timer m_guard{m_loop};
   http_caller m_caller{m_loop};
   std::uint32_t m_count = 3;
+  double m_uplink_bytes_per_s = 1e9;
+  std::size_t m_padding = 0;
   bool m_origin_is_dark = false;
   unsigned m_spoilt_answers = 0;
   unsigned m_silent_manifests = 0;
@@ -251,7 +284,9 @@
         }
         const bool spoilt = m_spoilt_answers > 0;
         m_spoilt_answers -= spoilt ? 1U : 0U;
-        respond({200, "application/octet-stream", spoilt ? "other bytes" : "piece " + number});
+        respond(
+            {200, "application/octet-stream",
+             spoilt ? "other bytes" : bytes_of(static_cast<std::uint32_t>(std::stoul(number)))});
         if (m_reads.size() == m_wanted_reads)
         {
           m_loop.stop();
@@ -347,6 +382,29 @@
     CPPUNIT_ASSERT_EQUAL(1U, m_manifests["/v1/manifest/m"]);
   }
 
+  /// Guards against an entry with a narrow link whose answers to callers wait behind the pieces for
+  /// all hosts of its region, and whose pieces time out because they are all sent at once.
+  void pieces_leave_room_on_the_link()
+  {
+    m_uplink_bytes_per_s = 1;
+    m_padding = 49'000;
+    auto relay = make_relay();
+    constexpr std::size_t callers = 6;
+    for (std::size_t i = 1; i < callers; ++i)
+    {
+      ask(relay, piece_target(1), callers);
+    }
+    ask(relay, piece_target(1) + "&from_origin=1", callers);
+    run();
+    CPPUNIT_ASSERT_EQUAL(callers, m_answers.size());
+    // Two pieces may leave at once, first to an entry of another region; the others come back.
+    const auto sent =
+        std::count_if(m_answers.begin(), m_answers.end(),
+                      [](const simple_answer& answer) { return answer.status == 200; });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, static_cast<std::ptrdiff_t>(sent));
+    CPPUNIT_ASSERT_EQUAL(503U, m_answers.back().status);
+  }
+
   void questions_that_cannot_be_answered_end_at_once()
   {
     auto relay = make_relay();
