--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -143,6 +143,7 @@
   CPPUNIT_TEST(spoilt_answers_do_not_reach_the_caller);
   CPPUNIT_TEST(late_second_answer_belongs_to_no_request);
   CPPUNIT_TEST(stream_continues_at_another_server);
+  CPPUNIT_TEST(long_answer_leaves_its_pair_of_engines);
   CPPUNIT_TEST(broken_stream_does_not_look_complete);
   CPPUNIT_TEST(caller_that_leaves_cancels_the_request);
   CPPUNIT_TEST(early_answer_to_a_long_body);
@@ -441,6 +442,46 @@
     CPPUNIT_ASSERT_EQUAL(std::string("1"), *head.find("X-Pollenyoke-Request-Priority"));
   }
 
+  /// Guards against answers of pairs of engines, five times as slow, that reach the route's limit
+  /// although an engine with all layers has become free.
+  void long_answer_leaves_its_pair_of_engines()
+  {
+    auto config = make_config();
+    config.version = 2;
+    config.services["pool"] = {
+        .name = "pool", .slots = 4, .engine = protocol::engine_speed{.layers = 2}, .model = "m"};
+    config.routes.back().targets = {{"pool", 1}};
+    m_gateway->set_config(std::move(config));
+    const auto add_engine = [this](const std::string& id, const peers::load_message& load)
+    {
+      m_servers.push_back(std::make_unique<scripted_server>(m_loop));
+      const transport::endpoint address{"127.0.0.1", m_servers.back()->port()};
+      m_gateway->put_backend({.id = id, .service = "pool", .address = address, .slots = 4});
+      auto report = load;
+      report.engine = transport::to_string(address);
+      m_gateway->take_load(report);
+      return address;
+    };
+    const auto first = add_engine("front", {.part_version = 3, .part_from = 0, .part_to = 1});
+    const auto second = add_engine("back", {.part_version = 3, .part_from = 1, .part_to = 2});
+    const std::string event = "id: 1\ndata: a\n\n";
+    const std::string rest = "id: 2\ndata: b\n\n";
+    m_servers[1]->script = {{stream_head("r1") + chunk(event)}};
+    send(request("/stream/a", "r1", "Path: 1.2.3.4:5=0-2\r\n"));
+    run_until([this] { return m_received.find("data: a") != std::string::npos; });
+    const auto& head = m_servers[1]->heads.front();
+    CPPUNIT_ASSERT_EQUAL(transport::to_string(first) + "=0-1," + transport::to_string(second) +
+                             "=1-2",
+                         *head.find("Path"));
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), *head.find("X-Pollenyoke-Expected-Version"));
+    add_engine("whole", {.weight_version = 3});
+    m_servers[3]->script = {{stream_head("r1") + chunk(rest) + "0\r\n\r\n"}};
+    CPPUNIT_ASSERT_EQUAL(event + rest, wait_for_answer().body);
+    CPPUNIT_ASSERT(m_servers[3]->heads.front().find("Path") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), *m_servers[3]->heads.front().find("Last-Event-Id"));
+    CPPUNIT_ASSERT(m_servers[2]->heads.empty());
+  }
+
   void broken_stream_does_not_look_complete()
   {
     script_all({{stream_head("r1") + chunk("id: 1\ndata: a\n\n"), false, false}});
