--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -455,7 +455,7 @@
     const auto add_engine = [this](const std::string& id, const peers::load_message& load)
     {
       m_servers.push_back(std::make_unique<scripted_server>(m_loop));
-      const transport::endpoint address{"127.0.0.1", m_servers.back()->port()};
+      transport::endpoint address{"127.0.0.1", m_servers.back()->port()};
       m_gateway->put_backend({.id = id, .service = "pool", .address = address, .slots = 4});
       auto report = load;
       report.engine = transport::to_string(address);
