StateFeed, Node: a deputy is asked before each process of a domain reads the store

Cause: while the reader of a failure domain was cut off, all its 50 processes read the store themselves for 3 s, and so each change of the configuration. Change: a process whose reader gives no useful answer asks the second live entry of its domain for 3 s, and reads the store only if that fails too. The deputy itself reads the store. Test: deputy_is_asked_before_the_store.

--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -94,12 +94,13 @@
         .on_backend_record = [](const state_feed::record&, std::optional<async_io::time_point>) {},
         .ask_peer = [this](auto done) { m_peers.ask_snapshot(std::move(done)); },
         .ask_reader =
-            [this](state_feed::record_topic topic, std::uint64_t offset, auto done)
+            [this](state_feed::reader_rank rank, state_feed::record_topic topic,
+                   std::uint64_t offset, auto done)
         {
           // Configurations are large and change often; one tells all that an agent needs.
           const std::string left_out =
               m_model.empty() ? std::string{} : std::string(platform::names::config_key);
-          return m_peers.ask_reader(topic, offset, left_out, std::move(done));
+          return m_peers.ask_reader(rank, topic, offset, left_out, std::move(done));
         }};
   }
 
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -254,18 +254,21 @@
   return m_settings.domains.at(domain_of(peer));
 }
 
-bool peer_service::ask_reader(state_feed::record_topic topic, std::uint64_t offset,
-                              const std::string& left_out,
+bool peer_service::ask_reader(state_feed::reader_rank rank, state_feed::record_topic topic,
+                              std::uint64_t offset, const std::string& left_out,
                               std::function<void(result<state_feed::relay_page>)> done)
 {
-  const auto entries = live(peers::peer_role::entry);
-  const auto reader = std::find_if(entries.begin(), entries.end(),
-                                   [this](const peers::peer_record& entry)
-                                   { return entry.domain == m_table.self().domain; });
-  if (reader == entries.end() || reader->ip == m_settings.ip)
+  auto entries = live(peers::peer_role::entry);
+  std::erase_if(entries, [this](const peers::peer_record& entry)
+                { return entry.domain != m_table.self().domain; });
+  const std::size_t place = rank == state_feed::reader_rank::first ? 0 : 1;
+  if (place >= entries.size() ||
+      std::any_of(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(place) + 1,
+                  [this](const peers::peer_record& entry) { return entry.ip == m_settings.ip; }))
   {
     return false;
   }
+  const auto reader = entries.begin() + static_cast<std::ptrdiff_t>(place);
   async_io::http_call call;
   call.address = {reader->ip, m_settings.peer_port};
   call.target = "/changes?topic=" + std::to_string(static_cast<int>(topic)) +
--- a/Source/Core/StateFeed/Records.h
+++ b/Source/Core/StateFeed/Records.h
@@ -8,6 +8,14 @@
 namespace pollenyoke::state_feed
 {
 
+/// Who reads the store for a failure domain.
+enum class reader_rank : std::uint8_t
+{
+  first,
+  /// Takes the place of one that does not answer.
+  deputy,
+};
+
 /// What the platform's store holds for this system.
 enum class record_topic
 {
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -51,8 +51,10 @@
       on_backend_record;
   /// Asks one peer for its snapshot.
   std::function<void(std::function<void(result<peer_snapshot>)>)> ask_peer;
-  /// Asks the reader of this failure domain for changes; false if this process is the reader.
-  std::function<bool(record_topic, std::uint64_t offset, std::function<void(result<relay_page>)>)>
+  /// Asks the reader of this failure domain for changes, or its deputy; false if this process is
+  /// that one or comes before it.
+  std::function<bool(reader_rank, record_topic, std::uint64_t offset,
+                     std::function<void(result<relay_page>)>)>
       ask_reader;
 };
 
@@ -155,6 +157,8 @@
     std::chrono::milliseconds retry = first_retry;
     bool resync = false;
     async_io::time_point direct_until{};
+    /// The first reader did not answer usefully; its deputy is asked until then.
+    async_io::time_point deputy_until{};
   };
 
   static async_io::time_point now()
@@ -197,12 +201,16 @@
 
   bool ask_reader(follower& topic, std::uint64_t call)
   {
-    return m_handlers.ask_reader(topic.topic, topic.state.next_offset(),
-                                 [this, &topic, call](const result<relay_page>& page)
-                                 { take_relay(topic, call, page); });
+    const auto rank = now() < topic.deputy_until ? reader_rank::deputy : reader_rank::first;
+    return m_handlers.ask_reader(rank, topic.topic, topic.state.next_offset(),
+                                 [this, &topic, call, rank](const result<relay_page>& page)
+                                 { take_relay(topic, call, rank, page); });
   }
 
-  void take_relay(follower& topic, std::uint64_t call, const result<relay_page>& page)
+  /// The store is read directly only where the deputy fails as well: a configuration that each of
+  /// 110 processes of other regions reads by itself fills the regional links for a second.
+  void take_relay(follower& topic, std::uint64_t call, reader_rank rank,
+                  const result<relay_page>& page)
   {
     const bool usable = page && std::chrono::milliseconds(page->age_ms) < longest_relay_age;
     if (page)
@@ -220,7 +228,8 @@
     }
     if (!usable)
     {
-      topic.direct_until = now() + direct_time;
+      auto& until = rank == reader_rank::first ? topic.deputy_until : topic.direct_until;
+      until = now() + direct_time;
     }
     if (call == topic.call)
     {
--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(reader_of_the_domain_is_asked_first);
   CPPUNIT_TEST(reader_without_answer_is_passed_over);
   CPPUNIT_TEST(reader_with_old_state_is_passed_over);
+  CPPUNIT_TEST(deputy_is_asked_before_the_store);
   CPPUNIT_TEST(peer_that_is_ahead_ends_a_silent_read);
   CPPUNIT_TEST(short_outage_lets_no_record_lapse);
   CPPUNIT_TEST(process_without_state_does_not_slow_down);
@@ -75,42 +76,61 @@
   std::map<std::string, std::string> m_records;
   bool m_lapsed = false;
   std::optional<result<relay_page>> m_reader;
+  /// Answers of the deputy of the reader; this process is the deputy if there are none.
+  std::deque<result<relay_page>> m_deputy;
   std::optional<peer_snapshot> m_peer;
   int m_peer_calls = 0;
 
   state_follower<scripted_store> make_feed(bool follow_backends)
   {
-    return state_follower<scripted_store>(m_loop, m_store,
-                                          {.on_operator_record = [this](const record& change)
-                                           { m_records[change.key] = change.value.value_or("-"); },
-                                           .on_backend_record =
-                                               [this](const record& change, auto may_return_until)
-                                           {
-                                             m_records[change.key] = change.value.value_or("-");
-                                             m_lapsed = may_return_until.has_value();
-                                           },
-                                           .ask_peer =
-                                               [this](auto done)
-                                           {
-                                             ++m_peer_calls;
-                                             if (m_peer)
-                                             {
-                                               done(*m_peer);
-                                             }
-                                           },
-                                           .ask_reader =
-                                               [this](record_topic, std::uint64_t, auto done)
-                                           {
-                                             if (!m_reader)
-                                             {
-                                               return false;
-                                             }
-                                             const auto answer = *m_reader;
-                                             m_reader.reset();
-                                             done(answer);
-                                             return true;
-                                           }},
-                                          follow_backends);
+    return state_follower<scripted_store>(
+        m_loop, m_store,
+        {.on_operator_record = [this](const record& change)
+         { m_records[change.key] = change.value.value_or("-"); },
+         .on_backend_record =
+             [this](const record& change, auto may_return_until)
+         {
+           m_records[change.key] = change.value.value_or("-");
+           m_lapsed = may_return_until.has_value();
+         },
+         .ask_peer =
+             [this](auto done)
+         {
+           ++m_peer_calls;
+           if (m_peer)
+           {
+             done(*m_peer);
+           }
+         },
+         .ask_reader =
+             [this](reader_rank rank, record_topic, std::uint64_t, auto done)
+         {
+           if (rank == reader_rank::deputy)
+           {
+             return answer_as_deputy(done);
+           }
+           if (!m_reader)
+           {
+             return false;
+           }
+           const auto answer = *m_reader;
+           m_reader.reset();
+           done(answer);
+           return true;
+         }},
+        follow_backends);
+  }
+
+  bool answer_as_deputy(const std::function<void(result<relay_page>)>& done)
+  {
+    if (m_deputy.empty())
+    {
+      return false;
+    }
+    const auto answer = m_deputy.front();
+    m_deputy.pop_front();
+    done(answer);
+    return true;
   }
 
   /// Lets timers of the feed run until the store is called or `limit` has passed.
@@ -240,6 +260,24 @@
     CPPUNIT_ASSERT(m_reader.has_value());
   }
 
+  /// Guards against all processes of a domain reading the store at once because its reader is cut
+  /// off: their configurations fill the regional links.
+  void deputy_is_asked_before_the_store()
+  {
+    auto feed = make_feed(false);
+    feed.start();
+    m_store.answer(page({}, 0));
+    m_reader = result<relay_page>(fail(error_code::unavailable, "cut off"));
+    m_deputy = {relay_page{false, page({{"config", "1", 0}}, 1), 0},
+                relay_page{false, page({{"config", "2", 1}}, 2), 0},
+                result<relay_page>(fail(error_code::unavailable, "cut off as well"))};
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), m_records["config"]);
+    // The store is asked only when the deputy has failed too.
+    CPPUNIT_ASSERT(m_deputy.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 2"), m_store.next_call());
+  }
+
   void peer_that_is_ahead_ends_a_silent_read()
   {
     auto feed = make_feed(false);
