--- a/Source/Core/Rollout/RelayPlan.h
+++ b/Source/Core/Rollout/RelayPlan.h
@@ -35,7 +35,7 @@
 
 private:
   std::vector<std::string> m_near;
-  /// In the origin's region, if that is another one; sorted as `m_near` by the caller.
+  /// In the origin's region, if that is another one.
   std::vector<std::string> m_at_origin;
 };
 
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -480,7 +480,8 @@
 
 void rollout_agent::consider_load()
 {
-  if (!m_report || m_loading_version != 0)
+  // Without a fetch there is nothing to load, and the facts need a look at all hosts.
+  if (!m_report || m_loading_version != 0 || m_fetchers.empty())
   {
     return;
   }
--- a/Source/Core/Rollout/WeightParts.h
+++ b/Source/Core/Rollout/WeightParts.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 #include "Protocol/ServingModel.h"
