Rollout: an engine loads first the layers whose pieces were fetched first

Cause: the agent worked out its first half of the layers twice, by its position at the start of the fetch and again before the order. Change: the agent keeps the layers of the newest fetch. Test: first_layers_stay_those_that_were_fetched, fails before.

--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -233,8 +233,8 @@
   {
     return;
   }
-  const auto first_part =
-      serves() ? piece_range{} : pieces_of(first_layers(position_in_region(), m_shape), m_shape);
+  m_first_layers = serves() ? protocol::layer_range{} : first_layers(position_in_region(), m_shape);
+  const auto first_part = pieces_of(m_first_layers, m_shape);
   const auto fetcher = std::make_shared<piece_fetcher>(
       m_environment, m_model, version, first_part,
       piece_fetcher::handlers{.on_first_part = [this, version] { first_part_complete(version); },
@@ -504,7 +504,7 @@
     begin_load(facts.ready_version, all);
     return;
   case load_action::load_first_part:
-    begin_load(wanted_version(), first_layers(position_in_region(), m_shape));
+    begin_load(wanted_version(), m_first_layers);
     return;
   case load_action::load_rest:
     m_loads_beside_work = true;
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -111,6 +111,9 @@
   /// Named versions and when this host heard of them.
   std::map<std::uint64_t, async_io::time_point> m_named;
   std::map<std::uint64_t, std::shared_ptr<piece_fetcher>> m_fetchers;
+  /// Layers whose pieces the newest fetch brings first; none if the engine had weights by then. The
+  /// host's position may change while it fetches.
+  protocol::layer_range m_first_layers;
   /// When each host was last told what this one has.
   std::map<std::string, async_io::time_point> m_answered;
   std::deque<queued_piece> m_send_queue;
--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -100,6 +100,7 @@
   CPPUNIT_TEST(lost_answer_to_an_order_does_not_order_twice);
   CPPUNIT_TEST(drained_engine_is_used_again_after_a_lost_answer);
   CPPUNIT_TEST(first_layers_are_loaded_before_the_others_are_there);
+  CPPUNIT_TEST(first_layers_stay_those_that_were_fetched);
   CPPUNIT_TEST(restarted_engine_is_loaded_again);
   CPPUNIT_TEST(agent_without_engine_takes_no_part);
   CPPUNIT_TEST(peers_get_pieces_and_manifest);
@@ -119,6 +120,8 @@
   /// Layers that the engine holds; it does not report them if there are none.
   protocol::layer_range m_engine_layers;
   bool m_origin_withholds_second_half = false;
+  /// A host before this one appears once the origin has been read.
+  bool m_host_joins_during_fetch = false;
   std::map<std::uint32_t, std::string> m_staged;
   unsigned m_spoil_staged = 0;
   unsigned m_spoil_origin = 0;
@@ -241,6 +244,10 @@
   {
     m_shown_hosts = std::min(m_shown_hosts + 1, m_final_hosts);
     std::vector<plan_host> hosts = {{"127.0.0.1", "east"}};
+    if (m_host_joins_during_fetch && m_origin_reads > 0)
+    {
+      hosts.insert(hosts.begin(), {"127.0.0.0", "east"});
+    }
     for (std::size_t i = 1; i < m_shown_hosts; ++i)
     {
       hosts.push_back({"127.0.0.1" + std::to_string(i), "region " + std::to_string(i)});
@@ -280,6 +287,7 @@
                           .caller = m_caller,
                           .self = "127.0.0.1",
                           .peer_port = 1,
+                          .region = "east",
                           .hosts = [this] { return next_hosts(); },
                           .origin = [this] { return m_origin->address(); },
                           .announce =
@@ -383,6 +391,19 @@
     run_until([this] { return !m_out_of_use; });
   }
 
+  /// Guards against an agent that has fetched one half of the layers and tries to load the other
+  /// one, because a host came meanwhile that changes its position.
+  void first_layers_stay_those_that_were_fetched()
+  {
+    m_layers = 2;
+    m_agent->set_model("m", {m_layers, piece_count});
+    m_origin_withholds_second_half = true;
+    m_host_joins_during_fetch = true;
+    m_agent->start();
+    run_until([this] { return m_engine_orders == 1; });
+    CPPUNIT_ASSERT((m_engine_layers == protocol::layer_range{0, 1}));
+  }
+
   void restarted_engine_is_loaded_again()
   {
     m_agent->start();
