--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -89,6 +89,16 @@
 }
 
 void caller_session::close()
+{
+  end("caller left");
+}
+
+void caller_session::cut()
+{
+  end("cut by the end of the process");
+}
+
+void caller_session::end(std::string_view outcome)
 {
   if (m_closed)
   {
@@ -98,7 +108,7 @@
   m_timer.cancel();
   if (m_exchange)
   {
-    m_exchange->cancel();
+    m_exchange->cancel(outcome);
     m_exchange = nullptr;
   }
   if (m_connection->is_open())
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -27,8 +27,11 @@
   /// Closes the connection unless a request is in progress or partly read.
   void close_if_idle();
   void close();
+  /// Ends the session because the process ends.
+  void cut();
 
 private:
+  void end(std::string_view outcome);
   void receive(std::string_view data);
   void parse();
   /// Validates and routes a request by its head, before the body has arrived.
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -57,7 +57,7 @@
   const auto sessions = m_sessions;
   for (const auto& session : sessions)
   {
-    session->close();
+    session->cut();
   }
 }
 
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -465,7 +465,7 @@
   refuse(may_have_run ? 504 : 503, std::nullopt, m_last_reason);
 }
 
-void request_exchange::cancel()
+void request_exchange::cancel(std::string_view outcome)
 {
   if (m_ended)
   {
@@ -478,7 +478,7 @@
     m_context.backends.end_attempt(m_server, attempt_health::neutral,
                                    std::chrono::steady_clock::now());
   }
-  end_request("caller left");
+  end_request(outcome);
 }
 
 void request_exchange::end_request(std::string_view outcome)
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "AsyncIo/EventLoop.h"
 #include "AsyncIo/HttpMessage.h"
@@ -53,8 +54,8 @@
   request_exchange(gateway_context& context, accepted_request request, response_sink sink);
 
   void start();
-  /// The caller has disconnected.
-  void cancel();
+  /// Ends the request without an answer. `outcome` is logged.
+  void cancel(std::string_view outcome);
 
 private:
   milliseconds time_left() const;
