Gateway: a connection is idle only when its answer has been sent

In a planned stop an entry closes idle connections every 50 ms from 3.3 s on. Bytes that are queued, and a pipelined request that waits to be parsed, now make it busy. Gateway.PlannedStop, connection_is_not_idle_before_its_answer_is_sent: failed before, passes. The suite's caller now reads slowly instead of not at all, because the kernel resets a connection whose peer takes nothing for 2 s; the checks are the same.

--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -77,7 +77,8 @@
 
 bool caller_session::is_busy() const
 {
-  return m_exchange != nullptr || m_parser.has_started();
+  return m_exchange != nullptr || m_parser.has_started() || m_has_surplus ||
+         m_connection->unsent_bytes() > 0;
 }
 
 void caller_session::close_if_idle()
@@ -391,7 +392,13 @@
   restart_idle_timer();
   if (!surplus.empty())
   {
-    m_context.loop.post([self = shared_from_this(), surplus] { self->receive(surplus); });
+    m_has_surplus = true;
+    m_context.loop.post(
+        [self = shared_from_this(), surplus]
+        {
+          self->m_has_surplus = false;
+          self->receive(surplus);
+        });
   }
 }
 
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -24,7 +24,8 @@
 
   void start();
   bool is_busy() const;
-  /// Closes the connection unless a request is in progress or partly read.
+  /// Closes the connection unless a request is in progress or partly read, or an answer is not sent
+  /// yet.
   void close_if_idle();
   void close();
   /// Ends the session because the process ends.
@@ -63,6 +64,8 @@
   bool m_responded_early = false;
   bool m_chunked = false;
   bool m_keep_alive = true;
+  /// Bytes of the next request have been read and wait to be parsed.
+  bool m_has_surplus = false;
   bool m_closed = false;
 };
 
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -50,6 +50,12 @@
   {
     return m_listener.port();
   }
+  /// Writes more bytes on the newest connection.
+  void write(const std::string& bytes)
+  {
+    m_open.back()->connection->write(bytes);
+  }
+
   std::vector<scripted_response> script;
   std::vector<std::string> requests;
   std::vector<async_io::message_head> heads;
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -1,5 +1,12 @@
+#include <array>
+#include <memory>
 #include <string>
 
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "UnitTests/Gateway/GatewayFixture.h"
 
 namespace
@@ -10,6 +17,78 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// A caller that reads its answer at about 1 MB/s, and closes when it has all of it or the gateway
+/// ends the connection.
+class slow_caller
+{
+public:
+  slow_caller(async_io::event_loop& loop, std::uint16_t port, const std::string& request)
+      : m_timer(loop), m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    const int receive_bytes = 65536;
+    CPPUNIT_ASSERT_EQUAL(
+        0, ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes)));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CPPUNIT_ASSERT_EQUAL(
+        0, ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(request.size()),
+                         ::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL));
+    CPPUNIT_ASSERT_EQUAL(0, ::fcntl(m_socket, F_SETFL, O_NONBLOCK));
+    read();
+  }
+  ~slow_caller()
+  {
+    ::close(m_socket);
+  }
+  slow_caller(const slow_caller&) = delete;
+  slow_caller& operator=(const slow_caller&) = delete;
+  slow_caller(slow_caller&&) = delete;
+  slow_caller& operator=(slow_caller&&) = delete;
+
+  bool has_ended() const
+  {
+    return m_ended;
+  }
+  bool has_whole_answer() const
+  {
+    return m_parser.is_complete();
+  }
+  const std::string& body() const
+  {
+    return m_body;
+  }
+
+private:
+  static constexpr milliseconds read_interval{10};
+
+  void read()
+  {
+    std::array<char, 12288> buffer{};
+    const ssize_t received = ::recv(m_socket, buffer.data(), buffer.size(), 0);
+    if (received > 0)
+    {
+      m_parser.feed({buffer.data(), static_cast<std::size_t>(received)});
+      m_body += m_parser.take_body();
+    }
+    m_ended = m_parser.is_complete() || received == 0 || (received < 0 && errno != EAGAIN);
+    if (m_ended)
+    {
+      ::shutdown(m_socket, SHUT_WR);
+      return;
+    }
+    m_timer.start(read_interval, [this] { read(); });
+  }
+
+  async_io::timer m_timer;
+  int m_socket;
+  async_io::http_parser m_parser{async_io::message_kind::response, {65536, 16U << 20U}};
+  std::string m_body;
+  bool m_ended = false;
+};
+
 /// What callers get from an entry that is about to end.
 class planned_stop_test : public gateway_fixture
 {
@@ -24,12 +103,21 @@
   static constexpr std::size_t event_bytes = 16384;
   static constexpr std::size_t event_count = 430;
 
+  std::unique_ptr<slow_caller> m_slow_caller;
+  bool m_stopped = false;
+  bool m_answered_when_stopped = false;
+
+  static std::string make_event(std::size_t id, std::size_t bytes)
+  {
+    return "id: " + std::to_string(id) + "\ndata: " + std::string(bytes, 'e') + "\n\n";
+  }
+
   static std::string make_events()
   {
     std::string out;
-    for (std::size_t id = 1; id <= event_count; ++id)
+    for (std::size_t id = 2; id <= event_count; ++id)
     {
-      out += "id: " + std::to_string(id) + "\ndata: " + std::string(event_bytes, 'e') + "\n\n";
+      out += make_event(id, event_bytes);
     }
     return out;
   }
@@ -40,42 +128,52 @@
     m_loop.run();
   }
 
-  /// Sends a request for a long stream and leaves the answer unread.
-  void request_without_reading(const std::string& extra_fields)
+  /// The slow caller sends a request; the server answers with the first event only.
+  void request_stream(const std::string& extra_fields)
   {
-    script_all({{stream_head("r1") + encode_chunk(make_events()) + "0\r\n\r\n"}});
-    bool sent = false;
-    m_caller = async_io::tcp_connection::make(m_loop);
-    m_caller->connect({"127.0.0.1", m_gateway->port()}, seconds(10),
-                      [this, &sent, &extra_fields](const result<void>& outcome)
-                      {
-                        CPPUNIT_ASSERT(outcome);
-                        m_caller->write(request("/stream/a", "r1", extra_fields));
-                        sent = true;
-                      });
-    run_until([this, &sent] { return sent && total_requests() == 1; });
+    script_all({{stream_head("r1") + encode_chunk(make_event(1, 1))}});
+    m_slow_caller = std::make_unique<slow_caller>(m_loop, m_gateway->port(),
+                                                  request("/stream/a", "r1", extra_fields));
+    run_until([this] { return total_requests() == 1; });
+    run_for(milliseconds(200));
+  }
+
+  void end_stream()
+  {
+    m_servers.front()->write(encode_chunk(make_events()) + "0\r\n\r\n");
   }
 
-  void read_answer()
+  void stop()
   {
-    m_caller->start([this](std::string_view data) { m_received.append(data); },
-                    [this](async_io::close_reason) { m_ended = true; });
-    run_until([this] { return m_ended; });
-    CPPUNIT_ASSERT(m_received.ends_with("\r\n0\r\n\r\n"));
-    async_io::http_parser parser(async_io::message_kind::response, {65536, 16U << 20U});
-    parser.feed(m_received);
-    CPPUNIT_ASSERT(parser.is_complete());
-    CPPUNIT_ASSERT(make_events() == parser.take_body());
+    m_gateway->stop(
+        [this]
+        {
+          m_stopped = true;
+          m_answered_when_stopped = m_slow_caller && m_slow_caller->has_whole_answer();
+        });
+  }
+
+  void check_whole_answer()
+  {
+    run_until([this] { return m_slow_caller->has_ended(); });
+    CPPUNIT_ASSERT(m_slow_caller->has_whole_answer());
+    CPPUNIT_ASSERT(make_event(1, 1) + make_events() == m_slow_caller->body());
   }
 
 public:
+  void tearDown() override
+  {
+    m_slow_caller = nullptr;
+    gateway_fixture::tearDown();
+  }
+
   /// Guards against connections that are closed a fixed time after the last byte was queued,
   /// however much the caller has yet to receive.
   void last_answer_reaches_a_slow_caller()
   {
-    request_without_reading("Connection: close\r\n");
-    run_for(milliseconds(1500));
-    read_answer();
+    request_stream("Connection: close\r\n");
+    end_stream();
+    check_whole_answer();
   }
 
   /// Guards against a process that ends between the last event of a server and its way to the
@@ -83,13 +181,12 @@
   void process_outlasts_the_answers_that_it_still_sends()
   {
     m_settings.stop_grace = seconds(60);
-    bool stopped = false;
-    m_gateway->stop([&stopped] { stopped = true; });
-    request_without_reading("");
-    run_for(milliseconds(4000));
-    CPPUNIT_ASSERT(!stopped);
-    read_answer();
-    run_until([&stopped] { return stopped; });
+    stop();
+    request_stream("");
+    run_for(milliseconds(2800));
+    end_stream();
+    run_until([this] { return m_stopped; });
+    CPPUNIT_ASSERT(m_answered_when_stopped);
   }
 
   /// Guards against a kept connection that counts as idle, and is closed, while the end of its
@@ -98,13 +195,12 @@
   void connection_is_not_idle_before_its_answer_is_sent()
   {
     m_settings.stop_grace = seconds(60);
-    request_without_reading("");
-    run_for(milliseconds(500));
-    bool stopped = false;
-    m_gateway->stop([&stopped] { stopped = true; });
-    run_for(milliseconds(4000));
-    read_answer();
-    run_until([&stopped] { return stopped; });
+    request_stream("");
+    stop();
+    run_for(milliseconds(3000));
+    end_stream();
+    check_whole_answer();
+    run_until([this] { return m_stopped; });
   }
 
   /// Guards against requests that are taken late in a planned stop and cut when the process ends.
@@ -130,15 +226,14 @@
     const std::string whole = request("/once/a", "r1");
     m_caller->write(whole.substr(0, whole.size() / 2));
     run_for(milliseconds(100));
-    bool stopped = false;
-    m_gateway->stop([&stopped] { stopped = true; });
+    stop();
     run_for(milliseconds(3000));
     m_caller->write(whole.substr(whole.size() / 2));
     const auto reply = wait_for_response();
     CPPUNIT_ASSERT_EQUAL(503U, reply.head.status);
     CPPUNIT_ASSERT(reply.head.find("Retry-After") != nullptr);
     CPPUNIT_ASSERT_EQUAL(std::string("close"), *reply.head.find("Connection"));
-    run_until([&stopped] { return stopped; });
+    run_until([this] { return m_stopped; });
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, total_requests());
   }
 };
