Gateway: a planned stop waits until the last answers have been sent

A session left the set of open ones when its last answer was written to the queue of the connection; if the check of the stop ran before the queue was sent, it found no session and the process ended. The limit of the stop is unchanged. Gateway.PlannedStop, process_outlasts_the_answers_that_it_still_sends: failed before, passes. The test now runs the gateway in a thread that ends when the stop is complete, since what the kernel has taken is delivered after the end of a process.

--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -77,10 +77,15 @@
 
 bool caller_session::is_busy() const
 {
-  return m_exchange != nullptr || m_parser.has_started() || m_has_surplus ||
+  return m_exchange != nullptr || m_parser.has_started() || m_has_surplus || m_closing ||
          m_connection->unsent_bytes() > 0;
 }
 
+bool caller_session::has_ended() const
+{
+  return m_closed || m_closing;
+}
+
 void caller_session::close_if_idle()
 {
   if (!is_busy())
@@ -112,10 +117,7 @@
     m_exchange->cancel(outcome);
     m_exchange = nullptr;
   }
-  if (m_connection->is_open())
-  {
-    m_connection->close();
-  }
+  m_connection->close();
   m_on_ended(shared_from_this());
 }
 
@@ -145,7 +147,7 @@
 
 void caller_session::parse()
 {
-  if (m_closed || m_exchange)
+  if (has_ended() || m_exchange)
   {
     return;
   }
@@ -166,7 +168,7 @@
   {
     m_head_checked = true;
     check_head();
-    if (m_closed)
+    if (has_ended())
     {
       return;
     }
@@ -366,20 +368,32 @@
             {{"id", m_request_id}, {"status", status}, {"reason", reason}});
   m_keep_alive = false;
   respond(status, std::nullopt, reason);
-  m_connection->close_when_sent();
-  close();
+  close_when_sent();
+}
+
+/// The session counts as open until then, so that a planned stop waits for it.
+void caller_session::close_when_sent()
+{
+  if (!m_connection->is_open())
+  {
+    close();
+    return;
+  }
+  m_closing = true;
+  m_timer.cancel();
+  m_connection->close_when_sent([self = shared_from_this()](async_io::close_reason)
+                                { self->close(); });
 }
 
 void caller_session::next_request()
 {
-  if (m_closed)
+  if (has_ended())
   {
     return;
   }
   if (!m_keep_alive)
   {
-    m_connection->close_when_sent();
-    close();
+    close_when_sent();
     return;
   }
   const std::string surplus = m_parser.take_surplus();
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -33,6 +33,8 @@
 
 private:
   void end(std::string_view outcome);
+  /// Takes no further request; a last answer may still be on its way.
+  bool has_ended() const;
   void receive(std::string_view data);
   void parse();
   /// Validates and routes a request by its head, before the body has arrived.
@@ -44,6 +46,8 @@
   void write_body(std::string data);
   void finish_response();
   void next_request();
+  /// Ends the session when all that is queued has reached the caller.
+  void close_when_sent();
   void restart_idle_timer();
   response_sink make_sink();
   const protocol::caller_limits& limits() const;
@@ -66,6 +70,7 @@
   bool m_keep_alive = true;
   /// Bytes of the next request have been read and wait to be parsed.
   bool m_has_surplus = false;
+  bool m_closing = false;
   bool m_closed = false;
 };
 
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -1,6 +1,9 @@
 #include <array>
+#include <atomic>
+#include <future>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -89,6 +92,69 @@
   bool m_ended = false;
 };
 
+/// A gateway in a thread of its own. When its stop is complete, everything that it holds ends, as
+/// it would with the process.
+class gateway_process
+{
+public:
+  gateway_process(const protocol::node_settings& settings, const protocol::serving_config& config,
+                  const protocol::backend_entry& server)
+      : m_thread([this, &settings, config, server] { run(settings, config, server); })
+  {
+    m_port = m_port_promise.get_future().get();
+  }
+  ~gateway_process()
+  {
+    m_thread.join();
+  }
+  gateway_process(const gateway_process&) = delete;
+  gateway_process& operator=(const gateway_process&) = delete;
+  gateway_process(gateway_process&&) = delete;
+  gateway_process& operator=(gateway_process&&) = delete;
+
+  std::uint16_t port() const
+  {
+    return m_port;
+  }
+  bool has_ended() const
+  {
+    return m_ended;
+  }
+  void stop()
+  {
+    m_loop->post([this] { m_gateway->stop([this] { m_loop->stop(); }); });
+  }
+
+private:
+  void run(const protocol::node_settings& settings, const protocol::serving_config& config,
+           const protocol::backend_entry& server)
+  {
+    async_io::event_loop loop;
+    gateway::gateway gateway(loop, settings,
+                             {[] { return 1; },
+                              []
+                              {
+                                return 1;
+                              }},
+                             [](const std::string&, std::uint32_t) {});
+    CPPUNIT_ASSERT(gateway.listen({"127.0.0.1", 0}));
+    gateway.set_config(config);
+    gateway.put_backend(server);
+    m_loop = &loop;
+    m_gateway = &gateway;
+    m_port_promise.set_value(gateway.port());
+    loop.run();
+    m_ended = true;
+  }
+
+  async_io::event_loop* m_loop = nullptr;
+  gateway::gateway* m_gateway = nullptr;
+  std::promise<std::uint16_t> m_port_promise;
+  std::uint16_t m_port = 0;
+  std::atomic<bool> m_ended = false;
+  std::thread m_thread;
+};
+
 /// What callers get from an entry that is about to end.
 class planned_stop_test : public gateway_fixture
 {
@@ -105,7 +171,6 @@
 
   std::unique_ptr<slow_caller> m_slow_caller;
   bool m_stopped = false;
-  bool m_answered_when_stopped = false;
 
   static std::string make_event(std::size_t id, std::size_t bytes)
   {
@@ -129,11 +194,11 @@
   }
 
   /// The slow caller sends a request; the server answers with the first event only.
-  void request_stream(const std::string& extra_fields)
+  void request_stream(std::uint16_t port, const std::string& extra_fields)
   {
     script_all({{stream_head("r1") + encode_chunk(make_event(1, 1))}});
-    m_slow_caller = std::make_unique<slow_caller>(m_loop, m_gateway->port(),
-                                                  request("/stream/a", "r1", extra_fields));
+    m_slow_caller =
+        std::make_unique<slow_caller>(m_loop, port, request("/stream/a", "r1", extra_fields));
     run_until([this] { return total_requests() == 1; });
     run_for(milliseconds(200));
   }
@@ -145,12 +210,7 @@
 
   void stop()
   {
-    m_gateway->stop(
-        [this]
-        {
-          m_stopped = true;
-          m_answered_when_stopped = m_slow_caller && m_slow_caller->has_whole_answer();
-        });
+    m_gateway->stop([this] { m_stopped = true; });
   }
 
   void check_whole_answer()
@@ -171,7 +231,7 @@
   /// however much the caller has yet to receive.
   void last_answer_reaches_a_slow_caller()
   {
-    request_stream("Connection: close\r\n");
+    request_stream(m_gateway->port(), "Connection: close\r\n");
     end_stream();
     check_whole_answer();
   }
@@ -181,12 +241,17 @@
   void process_outlasts_the_answers_that_it_still_sends()
   {
     m_settings.stop_grace = seconds(60);
-    stop();
-    request_stream("");
-    run_for(milliseconds(2800));
+    gateway_process process(m_settings, make_config(),
+                            {.id = "s1",
+                             .service = "desk",
+                             .address = {"127.0.0.1", m_servers.front()->port()},
+                             .slots = 4});
+    request_stream(process.port(), "Connection: close\r\n");
+    process.stop();
+    run_for(milliseconds(3000));
     end_stream();
-    run_until([this] { return m_stopped; });
-    CPPUNIT_ASSERT(m_answered_when_stopped);
+    check_whole_answer();
+    run_until([&process] { return process.has_ended(); });
   }
 
   /// Guards against a kept connection that counts as idle, and is closed, while the end of its
@@ -195,7 +260,7 @@
   void connection_is_not_idle_before_its_answer_is_sent()
   {
     m_settings.stop_grace = seconds(60);
-    request_stream("");
+    request_stream(m_gateway->port(), "");
     stop();
     run_for(milliseconds(3000));
     end_stream();
