Gateway: late in a planned stop only requests that end before the process are taken

An entry takes connections until 3.3 s after SIGTERM, since callers keep lookup answers, and ends at 7.3 s. From 2.7 s on it now forwards a request only if its time limit ends before the process does; others get 503 with a Retry-After of zero at once, as other entries can serve them. A process whose grace time is shorter than the notice now ends within it.

--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -275,7 +275,7 @@
 
 bool caller_session::should_keep_alive() const
 {
-  return m_keep_alive && !m_context.stopping;
+  return m_keep_alive && !m_context.stop_started;
 }
 
 void caller_session::write_head(const async_io::message_head& head,
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Common/Log.h"
+#include "Gateway/StopPolicy.h"
 
 namespace pollenyoke::gateway
 {
@@ -13,10 +14,6 @@
 // Idle connections kept per backend server. With 60 entries this stays below half of the smallest
 // connection limit of a server.
 constexpr std::size_t max_idle_per_server = 4;
-// Callers learn within this time that the entry is stopping; until then it serves their requests.
-constexpr milliseconds drain_notice_time{3300};
-// The process exits this long before the platform would kill it.
-constexpr milliseconds exit_margin{700};
 constexpr milliseconds stop_check_interval{50};
 // Each session uses a file descriptor; the platform allows about 2,500 for sockets.
 constexpr std::size_t max_sessions = 1500;
@@ -45,7 +42,7 @@
                 .possible_entries = std::move(counts.possible),
                 .on_send = std::move(on_send),
                 .longest_time_limit = {},
-                .stopping = false},
+                .stop_started = std::nullopt},
       m_listener(loop, [this](async_io::tcp_connection::pointer connection)
                  { accept(std::move(connection)); }),
       m_stop_timer(loop)
@@ -139,21 +136,22 @@
 
 bool gateway::is_ready() const
 {
-  return m_context.routes != nullptr && !m_context.stopping;
+  return m_context.routes != nullptr && !m_context.stop_started;
 }
 
 void gateway::stop(std::function<void()> done)
 {
-  m_context.stopping = true;
+  m_context.stop_started = std::chrono::steady_clock::now();
   m_on_stopped = std::move(done);
-  m_stop_started = std::chrono::steady_clock::now();
   check_stopped();
 }
 
 void gateway::check_stopped()
 {
-  const auto passed = std::chrono::steady_clock::now() - m_stop_started;
-  if (passed >= drain_notice_time)
+  const auto passed = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
+                                                               *m_context.stop_started);
+  const bool notice_given = has_given_notice(passed);
+  if (notice_given)
   {
     m_listener.close();
     const auto sessions = m_sessions;
@@ -161,12 +159,12 @@
     {
       session->close_if_idle();
     }
-    if (m_sessions.empty() || passed >= m_context.settings.stop_grace - exit_margin)
-    {
-      log_info(log_category::process, "stopped", {{"open_sessions", m_sessions.size()}});
-      m_on_stopped();
-      return;
-    }
+  }
+  if ((notice_given && m_sessions.empty()) || must_end(passed, m_context.settings.stop_grace))
+  {
+    log_info(log_category::process, "stopped", {{"open_sessions", m_sessions.size()}});
+    m_on_stopped();
+    return;
   }
   m_stop_timer.start(stop_check_interval, [this] { check_stopped(); });
 }
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -60,7 +60,6 @@
   async_io::timer m_stop_timer;
   std::set<std::shared_ptr<caller_session>> m_sessions;
   std::function<void()> m_on_stopped;
-  async_io::time_point m_stop_started;
 };
 
 } // namespace pollenyoke::gateway
--- a/Source/Core/Gateway/GatewayContext.h
+++ b/Source/Core/Gateway/GatewayContext.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -47,7 +48,8 @@
   /// Longest time limit that callers have stated, by route. It is taken as the time limit of a
   /// first attempt.
   std::map<std::string, milliseconds> longest_time_limit;
-  bool stopping = false;
+  /// Set from the begin of a planned stop on.
+  std::optional<time_point> stop_started = std::nullopt;
 
   double random_fraction()
   {
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -5,6 +5,7 @@
 #include "Common/Log.h"
 #include "Gateway/AdmissionPolicy.h"
 #include "Gateway/PriorityPolicy.h"
+#include "Gateway/StopPolicy.h"
 #include "platform/Decode.h"
 #include "platform/Names.h"
 
@@ -80,9 +81,27 @@
     refuse(503, milliseconds(100), "no time left");
     return;
   }
+  if (!outlasts_request())
+  {
+    // Other entries can serve it at once.
+    refuse(503, milliseconds(0), "process stops");
+    return;
+  }
   send_next();
 }
 
+bool request_exchange::outlasts_request() const
+{
+  if (!m_context.stop_started)
+  {
+    return true;
+  }
+  const auto since_stop = std::chrono::steady_clock::now() - *m_context.stop_started;
+  return accepts_request({.since_stop = std::chrono::duration_cast<milliseconds>(since_stop),
+                          .time_limit = time_left(),
+                          .grace = m_context.settings.stop_grace});
+}
+
 choice_request request_exchange::make_choice_request()
 {
   const auto* service = m_request.table->find_service(m_request.service);
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -60,6 +60,8 @@
 private:
   milliseconds time_left() const;
   milliseconds time_limit() const;
+  /// False if the process may end, in a planned stop, before the request does.
+  bool outlasts_request() const;
   choice_request make_choice_request();
   void send_next();
   void send_to(const backend_choice& choice);
--- a/Source/UnitTests/Gateway/DecisionsTest.cpp
+++ b/Source/UnitTests/Gateway/DecisionsTest.cpp
@@ -10,6 +10,7 @@
 #include "Gateway/RetryPolicy.h"
 #include "Gateway/RouteTable.h"
 #include "Gateway/ServiceRetryBudget.h"
+#include "Gateway/StopPolicy.h"
 #include "Gateway/VersionPolicy.h"
 
 namespace
@@ -60,6 +61,7 @@
   CPPUNIT_TEST(failing_servers_are_ejected_up_to_a_limit);
   CPPUNIT_TEST(misdirected_server_is_avoided_for_a_while);
   CPPUNIT_TEST(engine_without_the_version_is_not_chosen);
+  CPPUNIT_TEST(late_requests_of_a_planned_stop_must_fit_into_the_time_left);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -353,6 +355,23 @@
     table.update_load(load, t0);
     CPPUNIT_ASSERT(!table.choose({.service = "pool"}, t0));
   }
+
+  /// Guards against requests that are taken late in a stop and cut at its end.
+  void late_requests_of_a_planned_stop_must_fit_into_the_time_left()
+  {
+    const auto accepts = [](int since_stop, int time_limit)
+    {
+      return accepts_request(
+          {milliseconds(since_stop), milliseconds(time_limit), milliseconds(8000)});
+    };
+    CPPUNIT_ASSERT(accepts(0, 6000));
+    CPPUNIT_ASSERT(accepts(2500, 6000));
+    CPPUNIT_ASSERT(!accepts(3000, 6000));
+    CPPUNIT_ASSERT(!accepts(3020, 4300));
+    CPPUNIT_ASSERT(accepts(3020, 600));
+    CPPUNIT_ASSERT(accepts(6500, 600));
+    CPPUNIT_ASSERT(!accepts(7000, 600));
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(decisions_test, "Gateway.Decisions");
