--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -57,6 +57,8 @@
   }
 
   std::vector<scripted_response> script;
+  /// Used instead of the script if set.
+  std::function<scripted_response(const async_io::message_head&)> behaviour;
   std::vector<std::string> requests;
   std::vector<async_io::message_head> heads;
   unsigned closed = 0;
@@ -87,12 +89,20 @@
     heads.push_back(open.parser.head());
     requests.push_back(open.parser.take_body());
     open.parser = async_io::http_parser(async_io::message_kind::request, {65536, 8U << 20U});
-    if (script.empty())
+    scripted_response next;
+    if (behaviour)
+    {
+      next = behaviour(heads.back());
+    }
+    else if (!script.empty())
+    {
+      next = script.front();
+      script.erase(script.begin());
+    }
+    else
     {
       return;
     }
-    const scripted_response next = script.front();
-    script.erase(script.begin());
     open.connection->write(next.bytes);
     if (next.reset)
     {
--- /dev/null
+++ b/Source/UnitTests/Gateway/TaintedPromptTest.cpp
@@ -0,0 +1,100 @@
+#include <string>
+
+#include "UnitTests/Gateway/GatewayFixture.h"
+
+namespace
+{
+
+using namespace pollenyoke;
+using namespace pollenyoke::test;
+using std::chrono::milliseconds;
+
+/// Backend servers that crash when they begin to answer a prompt with a certain part.
+class tainted_prompt_test : public gateway_fixture
+{
+  CPPUNIT_TEST_SUITE(tainted_prompt_test);
+  CPPUNIT_TEST(part_that_crashes_servers_is_refused_and_its_neighbours_are_served);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::size_t server_count = 12;
+  static constexpr const char* tainted_part = "dead";
+
+  std::size_t m_crashes = 0;
+  unsigned m_request_count = 0;
+
+  void add_engines()
+  {
+    while (m_servers.size() < server_count)
+    {
+      add_server();
+    }
+    for (const auto& server : m_servers)
+    {
+      server->behaviour = [this](const async_io::message_head& head)
+      {
+        const std::string& prompt = *head.find("X-Pollenyoke-Prompt-Prefix");
+        if (prompt.find(tainted_part) != std::string::npos)
+        {
+          ++m_crashes;
+          return scripted_server::scripted_response{.reset = true};
+        }
+        return scripted_server::scripted_response{
+            stream_head(*head.find("X-Pollenyoke-Request-Id")) +
+            encode_chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"};
+      };
+    }
+  }
+
+  /// Sends a request whose prompt has the parts, and one of its own, and returns the status.
+  unsigned ask(const std::string& parts)
+  {
+    const std::string number = std::to_string(++m_request_count);
+    m_caller = nullptr;
+    m_received.clear();
+    send(request("/stream/" + number, "r" + number,
+                 "X-Pollenyoke-Prompt-Prefix: " + parts + ",f" + number + ":30\r\n"));
+    const unsigned status = wait_for_response().head.status;
+    m_caller->close();
+    return status;
+  }
+
+  void run_for(milliseconds time)
+  {
+    m_poll_timer.start(time, [this] { m_loop.stop(); });
+    m_loop.run();
+  }
+
+public:
+  /// Guards against prompts of which no two are alike, that crash one backend server after the
+  /// other because they share one part.
+  void part_that_crashes_servers_is_refused_and_its_neighbours_are_served()
+  {
+    // Crashes after which the part is known, and those of requests that are under way by then.
+    constexpr std::size_t max_crashes = 5;
+    add_engines();
+    for (unsigned i = 0; i < 4; ++i)
+    {
+      CPPUNIT_ASSERT_EQUAL(200U, ask("a1:40,b2:200"));
+    }
+    for (unsigned i = 0; i < 8; ++i)
+    {
+      const std::string own_part = "c" + std::to_string(i) + ":100";
+      CPPUNIT_ASSERT(ask("a1:40," + std::string(tainted_part) + ":200," + own_part) != 200U);
+      run_for(milliseconds(150));
+    }
+    CPPUNIT_ASSERT(m_crashes <= max_crashes);
+    const std::size_t crashes = m_crashes;
+    CPPUNIT_ASSERT_EQUAL(503U, ask("a1:40," + std::string(tainted_part) + ":200"));
+    CPPUNIT_ASSERT_EQUAL(crashes, m_crashes);
+    // Whatever else the crashing requests held is served on.
+    CPPUNIT_ASSERT_EQUAL(200U, ask("a1:40,b2:200"));
+    for (unsigned i = 0; i < 8; ++i)
+    {
+      CPPUNIT_ASSERT_EQUAL(200U, ask("a1:40,c" + std::to_string(i) + ":100"));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(tainted_prompt_test, "Gateway.TaintedPrompt");
+
+} // namespace
