Gateway: content under which servers crash is found and refused by all entries

Nothing remembered what a request held when its server ended.

- An entry whose connection to a server ends before the server has begun to answer asks the server for a new connection; if it gets none, it tells all entries which content the request held: the parts of its prompt that others may share, and the whole request.
- Content that was present in more crashes than any other, two at least, and that no server has answered since, is refused by every entry (CrashQuarantine).
Crashes that it explains are not held against other content.
Content that is always present together is tried one request at a time.
- An answer proves all that its request holds; an entry that sees one tells the others.
What is quarantined travels with gossip too, for entries that start or have missed a report.
- A retry after a lost server waits 0.1 s if the content is unproven; a request that waits at a server when its content becomes known is taken back.
- Quarantined content is tried again by one entry after a minute, then after twice as long.

Gateway.TaintedPrompt failed before and passes; its server now ends as after a crash, since a reset of one connection is none. Gateway.CrashQuarantine: rules and a simulated fleet.

--- a/Source/Core/Gateway/BackendAttempt.cpp
+++ b/Source/Core/Gateway/BackendAttempt.cpp
@@ -225,6 +225,7 @@
   {
     return;
   }
+  m_connection_lost = true;
   if (reason == async_io::close_reason::end_of_stream && m_head_accepted)
   {
     m_reusable = false;
@@ -272,12 +273,13 @@
   }
 }
 
-void backend_attempt::end(const attempt_result& result)
+void backend_attempt::end(attempt_result result)
 {
   if (m_ended)
   {
     return;
   }
+  result.connection_lost = m_connection_lost && !result.complete;
   const auto on_end = std::move(m_handlers.on_end);
   cancel();
   on_end(result);
--- a/Source/Core/Gateway/BackendAttempt.h
+++ b/Source/Core/Gateway/BackendAttempt.h
@@ -34,6 +34,8 @@
   /// A reused connection ended before any byte of the response arrived.
   bool stale_connection = false;
   bool unreachable = false;
+  /// The server's side ended the connection before the response was complete.
+  bool connection_lost = false;
   /// The address belongs to another server than expected, or the server has other weights.
   bool misdirected = false;
   /// Id or address of the pipeline server that the response names as the cause of a refusal.
@@ -72,7 +74,7 @@
   void start_next_message();
   void connection_ended(async_io::close_reason reason);
   void complete();
-  void end(const attempt_result& result);
+  void end(attempt_result result);
 
   async_io::event_loop& m_loop;
   async_io::idle_pool& m_pool;
@@ -89,6 +91,7 @@
   unsigned m_skipped_messages = 0;
   std::size_t m_skipped_bytes = 0;
   bool m_reusable = true;
+  bool m_connection_lost = false;
   bool m_ended = false;
 };
 
--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -382,7 +382,8 @@
                      .address = chosen.entry.address,
                      .first_byte_ms = first.expected.first_byte_ms,
                      .wait_ms = first.expected.wait_ms,
-                     .weight_version = known_version(chosen, find_service(request.service))};
+                     .weight_version = known_version(chosen, find_service(request.service)),
+                     .started_ms = chosen.entry.started_ms};
   if (first.part.is_empty())
   {
     return out;
--- a/Source/Core/Gateway/BackendTable.h
+++ b/Source/Core/Gateway/BackendTable.h
@@ -72,6 +72,8 @@
 
   /// Version of the server's weights; 0 if unknown.
   std::uint64_t weight_version = 0;
+  /// Start of the server, Unix time in ms; 0 if unknown.
+  std::uint64_t started_ms = 0;
   /// Pipeline of engines that run the request together, the chosen server first; empty if one
   /// server runs it alone.
   std::vector<protocol::pipeline_stage> pipeline;
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -99,6 +99,14 @@
   end("caller left");
 }
 
+void caller_session::end_if_quarantined()
+{
+  if (const auto exchange = m_exchange)
+  {
+    exchange->end_if_quarantined();
+  }
+}
+
 void caller_session::cut()
 {
   end("cut by the end of the process");
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -28,6 +28,8 @@
   /// yet.
   void close_if_idle();
   void close();
+  /// Ends the request in progress if it waits at a server that its content would crash.
+  void end_if_quarantined();
   /// Ends the session because the process ends.
   void cut();
 
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 gateway::gateway(async_io::event_loop& loop, const protocol::node_settings& settings,
-                 entry_counts counts, send_observer on_send)
+                 entry_counts counts, send_observer on_send, fleet_link link)
     : m_context{.loop = loop,
                 .settings = settings,
                 .routes = nullptr,
@@ -32,6 +32,11 @@
                 .pool = async_io::idle_pool(max_idle_per_server),
                 .versions = version_policy(settings.version_limit),
                 .retry_budgets = {},
+                .crashes = {loop, std::move(link),
+                            [this]
+                            {
+                              end_quarantined_requests();
+                            }},
                 .random = std::mt19937_64(std::random_device{}()),
                 .metrics = {},
                 .log_budget =
@@ -134,6 +139,26 @@
   m_context.backends.update_load(load, std::chrono::steady_clock::now());
 }
 
+void gateway::receive(const peers::peer_message& message)
+{
+  m_context.crashes.receive(message);
+}
+
+std::optional<peers::quarantine_digest> gateway::quarantine_digest() const
+{
+  return m_context.crashes.quarantine().make_digest(std::chrono::steady_clock::now());
+}
+
+/// Requests that wait at a server may still be taken back before they crash it.
+void gateway::end_quarantined_requests()
+{
+  const auto sessions = m_sessions;
+  for (const auto& session : sessions)
+  {
+    session->end_if_quarantined();
+  }
+}
+
 bool gateway::is_ready() const
 {
   return m_context.routes != nullptr && !m_context.stop_started;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -26,7 +26,7 @@
 {
 public:
   gateway(async_io::event_loop& loop, const protocol::node_settings& settings, entry_counts counts,
-          send_observer on_send);
+          send_observer on_send, fleet_link link = {});
   ~gateway();
   gateway(const gateway&) = delete;
   gateway& operator=(const gateway&) = delete;
@@ -45,6 +45,10 @@
   /// then.
   void remove_backend(const std::string& id, std::optional<time_point> may_return_until);
   void update_load(const peers::load_message& load);
+  /// Handles what another entry tells of crashes.
+  void receive(const peers::peer_message& message);
+  /// Content under which servers crash; empty if there is none.
+  std::optional<peers::quarantine_digest> quarantine_digest() const;
   bool is_ready() const;
   /// Keeps serving until callers have learned of the stop, drains open requests and then calls
   /// `done`.
@@ -54,6 +58,7 @@
 private:
   void accept(async_io::tcp_connection::pointer connection);
   void check_stopped();
+  void end_quarantined_requests();
 
   gateway_context m_context;
   async_io::tcp_listener m_listener;
--- a/Source/Core/Gateway/GatewayContext.h
+++ b/Source/Core/Gateway/GatewayContext.h
@@ -13,6 +13,7 @@
 #include "Common/Metrics.h"
 #include "Common/TokenBucket.h"
 #include "Gateway/BackendTable.h"
+#include "Gateway/CrashDetector.h"
 #include "Gateway/RouteTable.h"
 #include "Gateway/ServiceRetryBudget.h"
 #include "Gateway/VersionPolicy.h"
@@ -35,6 +36,7 @@
   async_io::idle_pool pool;
   version_policy versions;
   std::map<std::string, service_retry_budget> retry_budgets;
+  crash_detector crashes;
   std::mt19937_64 random;
   metrics_registry metrics;
   token_bucket log_budget;
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -33,6 +33,11 @@
 constexpr std::size_t max_buffered_response_bytes = 4U << 20U;
 // The response is sent this long before the deadline, so that it reaches the caller in time.
 constexpr milliseconds response_margin{10};
+// After a server was lost, a request with content that no server has answered lately waits until
+// the other entries have told under which content servers crash.
+constexpr milliseconds unproven_retry_delay = crash_settle_time + milliseconds(40);
+// Callers of quarantined content need not return soon.
+constexpr milliseconds quarantine_retry_after{60000};
 
 /// Fields that are not forwarded to servers: the gateway sets them itself or keeps them private.
 bool is_gateway_field(std::string_view name)
@@ -51,7 +56,13 @@
 request_exchange::request_exchange(gateway_context& context, accepted_request request,
                                    response_sink sink)
     : m_context(context), m_request(std::move(request)), m_sink(std::move(sink)),
-      m_deadline_timer(context.loop), m_silence_timer(context.loop), m_pipeline_timer(context.loop)
+      m_deadline_timer(context.loop), m_silence_timer(context.loop), m_pipeline_timer(context.loop),
+      m_retry_timer(context.loop),
+      m_content(make_content({.service = m_request.service,
+                              .team = m_request.caller.team,
+                              .target = m_request.head.target,
+                              .body = m_request.body,
+                              .shared_parts = m_request.labels.shared_parts}))
 {
 }
 
@@ -118,8 +129,101 @@
           .excluded = m_tried_servers};
 }
 
+bool request_exchange::check_content()
+{
+  auto& quarantine = m_context.crashes.quarantine();
+  const auto verdict = quarantine.judge(m_content, std::chrono::steady_clock::now());
+  if (verdict == content_verdict::trial && !m_in_trial)
+  {
+    m_in_trial = true;
+    quarantine.begin_trial(m_content);
+    return true;
+  }
+  if (verdict == content_verdict::accepted)
+  {
+    return true;
+  }
+  refuse_quarantined();
+  return false;
+}
+
+void request_exchange::refuse_quarantined()
+{
+  constexpr std::string_view reason = "servers crash under its content";
+  if (m_response_started)
+  {
+    m_last_reason = reason;
+    apply(retry_action::abort);
+  }
+  else if (m_may_have_run > 0)
+  {
+    refuse(502, std::nullopt, reason);
+  }
+  else
+  {
+    refuse(503, quarantine_retry_after, reason);
+  }
+}
+
+void request_exchange::end_trial()
+{
+  if (m_in_trial)
+  {
+    m_in_trial = false;
+    m_context.crashes.quarantine().end_trial(m_content);
+  }
+}
+
+void request_exchange::end_if_quarantined()
+{
+  if (m_ended || !m_attempt || m_attempt_answered || m_in_trial ||
+      !m_context.crashes.quarantine().is_certain(m_content))
+  {
+    return;
+  }
+  m_attempt->cancel();
+  m_attempt = nullptr;
+  m_context.backends.end_attempt(m_server, attempt_health::neutral,
+                                 std::chrono::steady_clock::now());
+  ++m_may_have_run;
+  refuse_quarantined();
+}
+
+void request_exchange::note_answer()
+{
+  if (!m_attempt_answered)
+  {
+    m_attempt_answered = true;
+    m_context.crashes.add_answer(m_content);
+  }
+}
+
+void request_exchange::note_lost_server()
+{
+  m_server_lost = true;
+  m_context.crashes.add_lost_request(m_server, m_content);
+}
+
+void request_exchange::retry()
+{
+  const bool wait =
+      m_server_lost && !m_content.parts.empty() &&
+      !m_context.crashes.quarantine().is_proven(m_content, std::chrono::steady_clock::now());
+  m_server_lost = false;
+  if (!wait)
+  {
+    send_next();
+    return;
+  }
+  m_retry_timer.start(unproven_retry_delay, [self = shared_from_this()] { self->send_next(); });
+}
+
 void request_exchange::send_next()
 {
+  if (!check_content())
+  {
+    return;
+  }
   const auto now = std::chrono::steady_clock::now();
   const auto choice = m_context.backends.choose(make_choice_request(), now);
   if (m_attempt_count == 0 || !choice)
@@ -164,6 +268,7 @@
   m_head = {};
   m_body.clear();
   m_relaying_events = false;
+  m_attempt_answered = false;
   m_event_relay.start_new_response();
   m_context.backends.begin_attempt(choice, std::chrono::steady_clock::now());
   attempt_request request{
@@ -286,6 +391,7 @@
   {
     // Bytes that complete no event do not count as progress.
     restart_silence_timer();
+    note_answer();
     flush_stream_head();
     m_sink.body(std::move(events));
   }
@@ -383,6 +489,7 @@
   const bool truncated = result.complete && m_relaying_events && !m_event_relay.at_event_boundary();
   if (result.complete && !server_error && !truncated)
   {
+    note_answer();
     m_context.backends.end_attempt(m_server, attempt_health::healthy, now);
     forward_response();
     return;
@@ -406,6 +513,10 @@
     health = attempt_health::unreachable;
   }
   m_context.backends.end_attempt(m_server, health, now, result.at_fault);
+  if (result.connection_lost && !result.stale_connection && !m_attempt_answered)
+  {
+    note_lost_server();
+  }
   m_may_have_run += end == attempt_end::unknown || end == attempt_end::server_error ? 1U : 0U;
   m_last_end = end;
   m_last_reason = server_error ? "server error " + std::to_string(m_head.status) : result.reason;
@@ -418,7 +529,7 @@
   switch (action)
   {
   case retry_action::retry:
-    send_next();
+    retry();
     return;
   case retry_action::refuse:
     refuse(503, milliseconds(200 + static_cast<int>(200 * m_context.random_fraction())),
@@ -506,6 +617,8 @@
   m_deadline_timer.cancel();
   m_silence_timer.cancel();
   m_pipeline_timer.cancel();
+  m_retry_timer.cancel();
+  end_trial();
   const auto now = std::chrono::steady_clock::now();
   m_context.metrics.add("requests_" + std::string(outcome));
   if (outcome == "answered")
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -54,6 +54,9 @@
   request_exchange(gateway_context& context, accepted_request request, response_sink sink);
 
   void start();
+  /// Takes the request back from a server that has not begun to answer it, if its content is known
+  /// to crash servers.
+  void end_if_quarantined();
   /// Ends the request without an answer. `outcome` is logged.
   void cancel(std::string_view outcome);
 
@@ -64,6 +67,14 @@
   bool outlasts_request() const;
   choice_request make_choice_request();
   void send_next();
+  /// Refuses the request if its content is quarantined. Returns false if it was.
+  bool check_content();
+  /// A server has begun to answer.
+  void note_answer();
+  void note_lost_server();
+  void refuse_quarantined();
+  void retry();
+  void end_trial();
   void send_to(const backend_choice& choice);
   void notify_agents() const;
   std::string serialize_request(const backend_choice& choice) const;
@@ -88,6 +99,7 @@
   async_io::timer m_deadline_timer;
   async_io::timer m_silence_timer;
   async_io::timer m_pipeline_timer;
+  async_io::timer m_retry_timer;
   std::shared_ptr<backend_attempt> m_attempt;
   /// Server of the current or last attempt.
   backend_choice m_server;
@@ -103,6 +115,12 @@
   bool m_ended = false;
   /// The current attempt is abandoned in favor of a better server, not because of a fault.
   bool m_migrating = false;
+  request_content m_content;
+  /// The server of the current attempt has begun to answer.
+  bool m_attempt_answered = false;
+  /// A server ended before it began to answer.
+  bool m_server_lost = false;
+  bool m_in_trial = false;
   unsigned m_attempt_count = 0;
   unsigned m_may_have_run = 0;
   attempt_end m_last_end = attempt_end::not_sent;
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -44,7 +44,14 @@
                      return m_peers.possible_entries();
                    }},
                   [this](const std::string& host, std::uint32_t prompt_tokens)
-                  { m_peers.send_notice(host, {.prompt_tokens = prompt_tokens}); }),
+                  { m_peers.send_notice(host, {.prompt_tokens = prompt_tokens}); },
+                  {.tell_entries = [this](const peers::peer_message& message)
+                   { m_peers.tell_entries(message); },
+                   .owns =
+                       [this](std::uint64_t key)
+                   {
+                     return m_peers.owns(key);
+                   }}),
         m_relay(make_relay_environment()),
         m_readiness(m_loop, [this](const auto& head, const auto& respond)
                     { serve_readiness(head, respond); }),
@@ -96,11 +103,15 @@
             { m_feed.serve_changes(request, left_out, std::move(respond)); },
             .on_introduced = [this] { m_feed.start(); },
             .metrics = [this] { return m_gateway.metrics_text(); },
-            .serve_weights =
-                [this](const async_io::message_head& head,
-                       const async_io::http_listener::responder& respond)
+            .serve_weights = [this](const async_io::message_head& head,
+                                    const async_io::http_listener::responder& respond)
+            { m_relay.serve(head, respond); },
+            .on_crash_message = [this](const peers::peer_message& message)
+            { m_gateway.receive(message); },
+            .quarantine_digest =
+                [this]
             {
-              m_relay.serve(head, respond);
+              return m_gateway.quarantine_digest();
             }};
   }
 
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -141,6 +141,44 @@
 {
   send_to(hosts,
           m_table.make_message(m_handlers.operator_offset(), std::chrono::steady_clock::now()));
+  send_digest_to(hosts);
+}
+
+void peer_service::send_digest_to(const std::vector<std::string>& hosts)
+{
+  const auto digest = m_handlers.quarantine_digest ? m_handlers.quarantine_digest() : std::nullopt;
+  if (!digest)
+  {
+    return;
+  }
+  const std::string datagram = peers::encode_message(*digest);
+  for (const std::string& ip : hosts)
+  {
+    m_udp.send(datagram, {ip, m_settings.peer_port});
+  }
+}
+
+void peer_service::tell_entries(const peers::peer_message& message)
+{
+  const std::string datagram = peers::encode_message(message);
+  for (const peers::peer_record& entry : live(peers::peer_role::entry))
+  {
+    if (entry.ip != m_settings.ip)
+    {
+      m_udp.send(datagram, {entry.ip, m_settings.peer_port});
+    }
+  }
+}
+
+bool peer_service::owns(std::uint64_t key) const
+{
+  std::vector<std::string> entries;
+  for (const peers::peer_record& entry : live(peers::peer_role::entry))
+  {
+    entries.push_back(entry.ip);
+  }
+  return !entries.empty() &&
+         entries.at(rendezvous_order(std::to_string(key), entries).front()) == m_settings.ip;
 }
 
 void peer_service::greet(const std::vector<std::string>& hosts)
@@ -196,6 +234,7 @@
     if (newcomer && gossip->greets_all)
     {
       greet({from.ip});
+      send_digest_to({from.ip});
     }
     else if (newcomer)
     {
@@ -222,6 +261,11 @@
   if (const auto* news = std::get_if<peers::piece_announcement>(&*message))
   {
     m_handlers.on_announcement(from.ip, *news);
+    return;
+  }
+  if (m_handlers.on_crash_message)
+  {
+    m_handlers.on_crash_message(*message);
   }
 }
 
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -37,6 +37,9 @@
   /// Answers `GET /piece` and `GET /manifest`; empty where no pieces are held.
   std::function<void(const async_io::message_head&, const async_io::http_listener::responder&)>
       serve_weights;
+  /// What other entries tell of crashes; empty at agents.
+  std::function<void(const peers::peer_message&)> on_crash_message = nullptr;
+  std::function<std::optional<peers::quarantine_digest>()> quarantine_digest = nullptr;
 };
 
 /// Talks with the other processes of the fleet: who is there, load of engines, state and pieces.
@@ -53,6 +56,9 @@
   /// Tells all entries, those of other failure domains through one of them each.
   void send_load(const peers::load_message& load);
   void send_notice(const std::string& agent_ip, const peers::send_notice& notice);
+  void tell_entries(const peers::peer_message& message);
+  /// Whether this entry is the one among the live entries that is responsible for the key.
+  bool owns(std::uint64_t key) const;
   void send_announcement(const std::string& agent_ip, const peers::piece_announcement& news);
   std::vector<peers::peer_record> live(peers::peer_role role) const;
   /// Live entries with their regions, for the plan of who hands pieces on.
@@ -82,6 +88,7 @@
   /// Tells these hosts of this process only.
   void greet(const std::vector<std::string>& hosts);
   void send_to(const std::vector<std::string>& hosts, peers::gossip_message message);
+  void send_digest_to(const std::vector<std::string>& hosts);
   void receive(std::string_view datagram, const transport::endpoint& from);
   void serve(const async_io::message_head& head, const async_io::http_listener::responder& respond);
   void serve_changes(const async_io::message_head& head,
--- a/Source/Core/Peers/PeerMessages.h
+++ b/Source/Core/Peers/PeerMessages.h
@@ -145,7 +145,62 @@
   }
 };
 
-using peer_message = std::variant<gossip_message, load_message, send_notice, piece_announcement>;
+/// Sent by an entry to all others when a server has crashed. Keys are hashes of what requests hold:
+/// parts of their prompts, or the whole request.
+struct crash_report
+{
+  /// Id of the server, and its start, which tells one crash of it from the next.
+  std::string server;
+  std::uint64_t started_ms = 0;
+  /// Keys of each request that the server had not begun to answer.
+  std::vector<std::vector<std::uint64_t>> suspects;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(server, started_ms, suspects);
+  }
+};
+
+/// Tells other entries that a server has begun to answer requests with these keys.
+struct content_clearance
+{
+  std::vector<std::uint64_t> keys;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(keys);
+  }
+};
+
+/// Keys under which servers crash, for entries that have missed the reports.
+struct quarantine_digest
+{
+  struct entry
+  {
+    std::uint64_t key = 0;
+    /// Time since the last crash under this key.
+    std::uint64_t age_ms = 0;
+    bool certain = false;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+      archive(key, age_ms, certain);
+    }
+  };
+  std::vector<entry> entries;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(entries);
+  }
+};
+
+using peer_message = std::variant<gossip_message, load_message, send_notice, piece_announcement,
+                                  crash_report, content_clearance, quarantine_digest>;
 
 std::string encode_message(const peer_message& message);
 result<peer_message> decode_message(std::string_view datagram);
--- a/Source/Core/Protocol/ServingModel.h
+++ b/Source/Core/Protocol/ServingModel.h
@@ -201,6 +201,8 @@
   /// Tokens of the prompt and the most that the answer may have.
   std::uint32_t prompt_tokens = 0;
   std::uint32_t answer_tokens = 0;
+  /// Ids of the parts of the prompt that other requests may hold too, in order.
+  std::vector<std::string> shared_parts;
 };
 
 } // namespace pollenyoke::protocol
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -19,12 +19,13 @@
 {
 public:
   /// Response to one request: the bytes to write, and whether to close or reset the connection
-  /// afterwards.
+  /// afterwards, or to end as after a crash.
   struct scripted_response
   {
     std::string bytes;
     bool close = false;
     bool reset = false;
+    bool crash = false;
   };
 
   explicit scripted_server(async_io::event_loop& loop)
@@ -62,6 +63,8 @@
   std::vector<std::string> requests;
   std::vector<async_io::message_head> heads;
   unsigned closed = 0;
+  bool crashed = false;
+  std::string id;
 
 private:
   struct open_connection
@@ -103,6 +106,11 @@
     {
       return;
     }
+    if (next.crash)
+    {
+      crash();
+      return;
+    }
     open.connection->write(next.bytes);
     if (next.reset)
     {
@@ -114,6 +122,16 @@
     }
   }
 
+  void crash()
+  {
+    crashed = true;
+    m_listener.close();
+    for (const auto& open : m_open)
+    {
+      open->connection->abort();
+    }
+  }
+
   async_io::tcp_listener m_listener;
   std::vector<std::shared_ptr<open_connection>> m_open;
 };
@@ -206,6 +224,7 @@
   {
     m_servers.push_back(std::make_unique<scripted_server>(m_loop));
     const std::string id = "s" + std::to_string(m_servers.size());
+    m_servers.back()->id = id;
     m_gateway->put_backend({.id = id,
                             .service = "desk",
                             .address = {"127.0.0.1", m_servers.back()->port()},
--- a/Source/UnitTests/Gateway/TaintedPromptTest.cpp
+++ b/Source/UnitTests/Gateway/TaintedPromptTest.cpp
@@ -22,35 +22,44 @@
   std::size_t m_crashes = 0;
   unsigned m_request_count = 0;
 
+  /// Adds a server for each one that has crashed, as the platform would.
   void add_engines()
   {
-    while (m_servers.size() < server_count)
+    for (const auto& server : m_servers)
     {
-      add_server();
+      if (server->crashed)
+      {
+        m_gateway->remove_backend(server->id, std::nullopt);
+      }
     }
-    for (const auto& server : m_servers)
+    while (m_servers.size() < server_count + m_crashes)
     {
-      server->behaviour = [this](const async_io::message_head& head)
+      add_server();
+      m_servers.back()->behaviour = [this](const async_io::message_head& head)
       {
-        const std::string& prompt = *head.find("X-Pollenyoke-Prompt-Prefix");
-        if (prompt.find(tainted_part) != std::string::npos)
-        {
-          ++m_crashes;
-          return scripted_server::scripted_response{.reset = true};
-        }
-        return scripted_server::scripted_response{
-            stream_head(*head.find("X-Pollenyoke-Request-Id")) +
-            encode_chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"};
+        return respond(head);
       };
     }
   }
 
+  scripted_server::scripted_response respond(const async_io::message_head& head)
+  {
+    if (head.find("X-Pollenyoke-Prompt-Prefix")->find(tainted_part) != std::string::npos)
+    {
+      ++m_crashes;
+      return {.crash = true};
+    }
+    return {stream_head(*head.find("X-Pollenyoke-Request-Id")) +
+            encode_chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"};
+  }
+
   /// Sends a request whose prompt has the parts, and one of its own, and returns the status.
   unsigned ask(const std::string& parts)
   {
     const std::string number = std::to_string(++m_request_count);
     m_caller = nullptr;
     m_received.clear();
+    add_engines();
     send(request("/stream/" + number, "r" + number,
                  "X-Pollenyoke-Prompt-Prefix: " + parts + ",f" + number + ":30\r\n"));
     const unsigned status = wait_for_response().head.status;
@@ -71,7 +80,7 @@
   {
     // Crashes after which the part is known, and those of requests that are under way by then.
     constexpr std::size_t max_crashes = 5;
-    add_engines();
+    m_gateway->remove_backend("s1", std::nullopt);
     for (unsigned i = 0; i < 4; ++i)
     {
       CPPUNIT_ASSERT_EQUAL(200U, ask("a1:40,b2:200"));
