StateFeed: state of the backend servers that grows old is read from the store beside a silent reader

The fault is real: an entry asks the readers of its failure domain one after the other, and each that takes the request and does not answer costs 0.9 s, up to four in a row. An entry whose state of the backend servers was confirmed 1.1 s ago or earlier while it waits for a reader now reads the changes from the store as well, at most every 1.1 s, less often while the store fails. Configurations, which are large, are not read so.

--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -48,6 +48,13 @@
 // wait for it: if each of them read the whole state, the regional link would be full for longer.
 constexpr std::chrono::milliseconds first_state_patience{4000};
 
+// State of the backend servers that is older than this is read from the store beside the reader
+// that does not answer; a leaving server must receive no requests after 2 s.
+constexpr std::chrono::milliseconds max_backend_age{1100};
+constexpr std::chrono::milliseconds backend_age_check_interval{100};
+// Longest interval between such reads while the store does not answer either.
+constexpr std::chrono::milliseconds max_extra_read_interval{4400};
+
 enum class store_use
 {
   /// Reads the store if no reader of the failure domain has current state.
@@ -95,7 +102,7 @@
             [this](const record& change)
             { m_handlers.on_backend_record(change, m_backends.state.may_return_until(now())); },
             [this] { return m_backends.state.confirmed_at(); }),
-        m_catch_up_timer(loop), m_peer_timer(loop)
+        m_catch_up_timer(loop), m_peer_timer(loop), m_backend_age_timer(loop)
   {
   }
 
@@ -106,6 +113,7 @@
     if (m_follow_backends)
     {
       read_next(m_backends);
+      check_backend_age();
     }
   }
 
@@ -423,6 +431,35 @@
     }
   }
 
+  /// Each reader that takes a request and does not answer costs its whole time limit, and several
+  /// may do so in turn.
+  void check_backend_age()
+  {
+    m_backend_age_timer.start(backend_age_check_interval, [this] { check_backend_age(); });
+    const bool asks_reader = !m_backends.current_reader.empty();
+    if (!asks_reader || m_store_use != store_use::direct || !m_backends.state.is_initialized() ||
+        m_backends.resync || now() - m_backends.state.confirmed_at() < max_backend_age ||
+        now() < m_extra_read_at + m_extra_read_interval)
+    {
+      return;
+    }
+    m_extra_read_at = now();
+    m_store.read(m_backends.topic, m_backends.state.next_offset(), std::chrono::milliseconds(0),
+                 [this](const result<record_page>& page) { on_extra_page(page); });
+  }
+
+  void on_extra_page(const result<record_page>& page)
+  {
+    if (!page || page->end < m_backends.state.next_offset())
+    {
+      m_extra_read_interval = std::min(m_extra_read_interval * 2, max_extra_read_interval);
+      return;
+    }
+    m_extra_read_interval = max_backend_age;
+    m_backends.state.apply_changes(*page, now());
+    m_backends.relay.notify();
+  }
+
   /// Asks one peer for changes, and another one later if the store still does not answer.
   void request_from_peer()
   {
@@ -465,6 +502,9 @@
   topic_feed m_backends;
   async_io::timer m_catch_up_timer;
   async_io::timer m_peer_timer;
+  async_io::timer m_backend_age_timer;
+  async_io::time_point m_extra_read_at{};
+  std::chrono::milliseconds m_extra_read_interval = max_backend_age;
   std::uint64_t m_peer_offset = 0;
   bool m_initialized = false;
   bool m_store_unreachable = false;
