Gateway: the idle time of a connection does not run while its answer is sent

The idle timer of a kept connection began when its answer was queued and closed the connection whatever was still unsent. Beside it: pipelined bytes are kept in order behind those that wait to be parsed, an ended session reads none, a process with a short grace time ends a sixth of it before its end instead of 0.7 s, and a comment said that 30 s without progress were allowed where 30 s in all are. Gateway.PlannedStop, idle_timeout_does_not_cut_an_answer: failed before, passes.

--- a/Source/Core/AsyncIo/TcpConnection.cpp
+++ b/Source/Core/AsyncIo/TcpConnection.cpp
@@ -28,8 +28,8 @@
 constexpr int keepalive_probes = 2;
 // After the last byte was sent the peer gets this long to close.
 constexpr std::chrono::milliseconds linger_timeout{1000};
-// Limit for sending what is queued when the connection closes: a peer may acknowledge probes and
-// read nothing.
+// Limit for sending all that is queued when the connection closes: a peer may read nothing, or very
+// slowly.
 constexpr std::chrono::seconds last_bytes_timeout{30};
 // A peer that still sends this much after the last answer does not read it.
 constexpr std::size_t max_lingering_bytes = 4U << 20U;
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 #include "Common/Log.h"
 #include "platform/Decode.h"
@@ -72,12 +73,21 @@
 
 void caller_session::restart_idle_timer()
 {
-  m_timer.start(limits().idle_timeout, [self = shared_from_this()] { self->close(); });
+  m_timer.start(limits().idle_timeout,
+                [self = shared_from_this()]
+                {
+                  if (self->is_busy())
+                  {
+                    self->restart_idle_timer();
+                    return;
+                  }
+                  self->close();
+                });
 }
 
 bool caller_session::is_busy() const
 {
-  return m_exchange != nullptr || m_parser.has_started() || m_has_surplus || m_closing ||
+  return m_exchange != nullptr || m_parser.has_started() || !m_surplus.empty() || m_closing ||
          m_connection->unsent_bytes() > 0;
 }
 
@@ -131,6 +141,15 @@
 
 void caller_session::receive(std::string_view data)
 {
+  if (has_ended())
+  {
+    return;
+  }
+  if (!m_surplus.empty())
+  {
+    m_surplus.append(data);
+    return;
+  }
   const bool first = !m_parser.has_started();
   m_parser.feed(data);
   if (m_exchange)
@@ -404,7 +423,7 @@
     close_when_sent();
     return;
   }
-  const std::string surplus = m_parser.take_surplus();
+  m_surplus = m_parser.take_surplus();
   m_parser =
       async_io::http_parser(message_kind::request, {limits().head_bytes, limits().body_bytes});
   m_head_checked = false;
@@ -412,15 +431,10 @@
   m_body.clear();
   m_request_id.clear();
   restart_idle_timer();
-  if (!surplus.empty())
-  {
-    m_has_surplus = true;
-    m_context.loop.post(
-        [self = shared_from_this(), surplus]
-        {
-          self->m_has_surplus = false;
-          self->receive(surplus);
-        });
+  if (!m_surplus.empty())
+  {
+    m_context.loop.post([self = shared_from_this()]
+                        { self->receive(std::exchange(self->m_surplus, {})); });
   }
 }
 
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -70,8 +70,8 @@
   bool m_responded_early = false;
   bool m_chunked = false;
   bool m_keep_alive = true;
-  /// Bytes of the next request have been read and wait to be parsed.
-  bool m_has_surplus = false;
+  /// Bytes of the next request that have been read and wait to be parsed.
+  std::string m_surplus;
   bool m_closing = false;
   bool m_closed = false;
 };
--- a/Source/Core/Gateway/StopPolicy.cpp
+++ b/Source/Core/Gateway/StopPolicy.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/StopPolicy.h"
 
+#include <algorithm>
+
 namespace pollenyoke::gateway
 {
 
@@ -8,8 +10,9 @@
 
 // Callers keep the answer of a lookup for two seconds or more.
 constexpr milliseconds drain_notice_time{3300};
-// The process exits this long before the platform would kill it.
-constexpr milliseconds exit_margin{700};
+// The process exits this long before the platform would kill it, or a sixth of the grace time if
+// that is shorter.
+constexpr milliseconds max_exit_margin{700};
 // Requests that were sent within 3 s of SIGTERM may be cut at the end of the grace time, as callers
 // cannot know of the stop yet; a process that is short of processor time sees SIGTERM a little
 // later than it was sent.
@@ -24,7 +27,7 @@
 
 bool must_end(milliseconds since_stop, milliseconds grace)
 {
-  return since_stop >= grace - exit_margin;
+  return since_stop >= grace - std::min(max_exit_margin, grace / 6);
 }
 
 bool accepts_request(const late_request& request)
--- a/Source/UnitTests/Gateway/DecisionsTest.cpp
+++ b/Source/UnitTests/Gateway/DecisionsTest.cpp
@@ -371,6 +371,9 @@
     CPPUNIT_ASSERT(accepts(3020, 600));
     CPPUNIT_ASSERT(accepts(6500, 600));
     CPPUNIT_ASSERT(!accepts(7000, 600));
+    // Short grace times leave a sixth of them.
+    CPPUNIT_ASSERT(!must_end(milliseconds(1600), milliseconds(2000)));
+    CPPUNIT_ASSERT(must_end(milliseconds(1700), milliseconds(2000)));
   }
 };
 
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -105,6 +105,10 @@
   }
   ~gateway_process()
   {
+    if (!m_stopping)
+    {
+      m_loop->post([this] { m_loop->stop(); });
+    }
     m_thread.join();
   }
   gateway_process(const gateway_process&) = delete;
@@ -122,6 +126,7 @@
   }
   void stop()
   {
+    m_stopping = true;
     m_loop->post([this] { m_gateway->stop([this] { m_loop->stop(); }); });
   }
 
@@ -151,6 +156,7 @@
   gateway::gateway* m_gateway = nullptr;
   std::promise<std::uint16_t> m_port_promise;
   std::uint16_t m_port = 0;
+  bool m_stopping = false;
   std::atomic<bool> m_ended = false;
   std::thread m_thread;
 };
@@ -162,6 +168,7 @@
   CPPUNIT_TEST(last_answer_reaches_a_slow_caller);
   CPPUNIT_TEST(process_outlasts_the_answers_that_it_still_sends);
   CPPUNIT_TEST(connection_is_not_idle_before_its_answer_is_sent);
+  CPPUNIT_TEST(idle_timeout_does_not_cut_an_answer);
   CPPUNIT_TEST(request_that_may_outlast_the_process_is_refused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -268,6 +275,19 @@
     run_until([this] { return m_stopped; });
   }
 
+  /// Guards against the same cause outside a stop: the idle time of a kept connection begins while
+  /// its last answer is still queued.
+  void idle_timeout_does_not_cut_an_answer()
+  {
+    auto config = make_config();
+    config.version = 2;
+    config.limits.idle_timeout = milliseconds(500);
+    m_gateway->set_config(std::move(config));
+    request_stream(m_gateway->port(), "");
+    end_stream();
+    check_whole_answer();
+  }
+
   /// Guards against requests that are taken late in a planned stop and cut when the process ends.
   void request_that_may_outlast_the_process_is_refused()
   {
