--- a/Source/Core/Gateway/BackendAttempt.cpp
+++ b/Source/Core/Gateway/BackendAttempt.cpp
@@ -26,6 +26,8 @@
 // least a few seconds.
 constexpr milliseconds default_idle_timeout{2000};
 constexpr milliseconds max_idle_timeout{8000};
+// A request on a pooled connection meets the server's close within a round trip.
+constexpr milliseconds stale_close_time{30};
 // Subtracted from the stated timeout, so that a request does not race with the server's close.
 constexpr milliseconds idle_margin{1000};
 
@@ -112,6 +114,7 @@
     m_parser.expect_no_body();
   }
   m_sent = true;
+  m_sent_at = std::chrono::steady_clock::now();
   m_connection->start([self](std::string_view data) { self->receive(data); },
                       [self](async_io::close_reason reason) { self->connection_ended(reason); });
   m_connection->write(m_request.bytes);
@@ -236,7 +239,9 @@
       return;
     }
   }
-  end({.stale_connection = m_reused && !m_data_received,
+  // A server that closes an idle connection does so before it has read the request.
+  const bool at_once = std::chrono::steady_clock::now() - m_sent_at < stale_close_time;
+  end({.stale_connection = m_reused && !m_data_received && at_once,
        .reason = m_data_received ? "connection ended within the answer"
                                  : "connection ended before the answer"});
 }
@@ -279,7 +284,7 @@
   {
     return;
   }
-  result.connection_lost = m_connection_lost && !result.complete;
+  result.connection_lost = m_connection_lost;
   const auto on_end = std::move(m_handlers.on_end);
   cancel();
   on_end(result);
--- a/Source/Core/Gateway/BackendAttempt.h
+++ b/Source/Core/Gateway/BackendAttempt.h
@@ -34,7 +34,7 @@
   /// A reused connection ended before any byte of the response arrived.
   bool stale_connection = false;
   bool unreachable = false;
-  /// The server's side ended the connection before the response was complete.
+  /// The server's side ended the connection. Some complete responses end so.
   bool connection_lost = false;
   /// The address belongs to another server than expected, or the server has other weights.
   bool misdirected = false;
@@ -85,6 +85,7 @@
   bool m_reused = false;
   bool m_data_received = false;
   bool m_sent = false;
+  std::chrono::steady_clock::time_point m_sent_at{};
   bool m_head_accepted = false;
   /// The current message is an interim response or belongs to another request.
   bool m_skip_message = false;
--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -8,8 +8,16 @@
 namespace
 {
 
-// A crashed server refuses connections; one without power does not answer.
 constexpr milliseconds probe_timeout{250};
+// Suspects that fit into one datagram, with the keys of long prompts too.
+constexpr std::size_t max_suspects_per_report = 24;
+
+/// The host of a crashed server refuses connections. A host that cannot be reached tells nothing,
+/// and neither does a process without descriptors.
+bool is_refused(const result<void>& outcome)
+{
+  return !outcome && outcome.error().code == error_code::unavailable;
+}
 
 time_point now()
 {
@@ -57,10 +65,10 @@
   pending->second.connection = async_io::tcp_connection::make(m_loop);
   pending->second.connection->connect(server.address, probe_timeout,
                                       [this, id = server.id](const result<void>& outcome)
-                                      { end_probe(id, outcome.has_value()); });
+                                      { end_probe(id, is_refused(outcome)); });
 }
 
-void crash_detector::end_probe(const std::string& server, bool reachable)
+void crash_detector::end_probe(const std::string& server, bool crashed)
 {
   const auto found = m_probes.find(server);
   if (found == m_probes.end())
@@ -70,7 +78,7 @@
   const probe ended = std::move(found->second);
   m_probes.erase(found);
   ended.connection->close();
-  if (reachable)
+  if (!crashed)
   {
     return;
   }
@@ -81,10 +89,28 @@
   }
   log_info(log_category::requests, "backend server crashed",
            {{"server", server}, {"unanswered", report->suspects.size()}});
-  m_link.tell_entries(*report);
+  tell_crash(*report);
   schedule_evaluation();
 }
 
+void crash_detector::tell_crash(const peers::crash_report& report)
+{
+  peers::crash_report part{report.server, report.started_ms, {}};
+  for (const auto& suspect : report.suspects)
+  {
+    part.suspects.push_back(suspect);
+    if (part.suspects.size() == max_suspects_per_report)
+    {
+      m_link.tell_entries(part);
+      part.suspects.clear();
+    }
+  }
+  if (!part.suspects.empty())
+  {
+    m_link.tell_entries(part);
+  }
+}
+
 void crash_detector::add_answer(const request_content& content)
 {
   tell_answered(m_quarantine.add_answer(content, now()));
@@ -95,6 +121,7 @@
   if (!keys.empty())
   {
     m_link.tell_entries(peers::content_clearance{std::move(keys)});
+    schedule_evaluation();
   }
 }
 
@@ -108,6 +135,7 @@
   if (const auto* clearance = std::get_if<peers::content_clearance>(&message))
   {
     m_quarantine.add_clearance(*clearance, now());
+    schedule_evaluation();
   }
   if (const auto* digest = std::get_if<peers::quarantine_digest>(&message))
   {
--- a/Source/Core/Gateway/CrashDetector.h
+++ b/Source/Core/Gateway/CrashDetector.h
@@ -53,7 +53,8 @@
     async_io::tcp_connection::pointer connection;
   };
 
-  void end_probe(const std::string& server, bool reachable);
+  void end_probe(const std::string& server, bool crashed);
+  void tell_crash(const peers::crash_report& report);
   void tell_answered(std::vector<std::uint64_t> keys);
   void schedule_evaluation();
 
--- a/Source/Core/Gateway/CrashQuarantine.cpp
+++ b/Source/Core/Gateway/CrashQuarantine.cpp
@@ -23,10 +23,16 @@
 constexpr milliseconds crash_lifetime{60000};
 constexpr std::size_t max_crashes = 128;
 constexpr std::size_t max_suspects_per_crash = 256;
+// Parts of a prompt that are told apart, and the whole request.
+constexpr std::size_t max_keys_per_suspect = 129;
 constexpr std::size_t max_quarantined = 256;
 // Content that is quarantined with certainty is tried again by one entry after this time, then
-// after twice as long and so on: weights or servers may have changed.
-constexpr milliseconds first_retrial_delay{60000};
+// after twice as long and so on: it may have been blamed wrongly, and weights or servers change.
+constexpr milliseconds first_retrial_delay{30000};
+// Content that is always present together is tried together after this time.
+constexpr milliseconds joint_trial_delay{5000};
+// An entry tells the others of the same answer at most this often.
+constexpr milliseconds tell_interval{200};
 constexpr milliseconds max_retrial_delay{3600000};
 // Quarantined content that fits into one datagram.
 constexpr std::size_t max_digest_entries = 64;
@@ -63,27 +69,39 @@
 {
 }
 
+bool crash_quarantine::may_try(std::uint64_t key, const quarantined_content& entry, bool alone,
+                               time_point now) const
+{
+  if (entry.in_trial)
+  {
+    return false;
+  }
+  // A crash under two suspicious contents does not tell which of them caused it, so one entry tries
+  // them together, and only if neither came alone for a while.
+  const milliseconds delay = entry.certain ? entry.retrial_delay : joint_trial_delay;
+  return (alone && !entry.certain) || (now - entry.last_evidence >= delay && m_owns_trial(key));
+}
+
 content_verdict crash_quarantine::judge(const request_content& content, time_point now) const
 {
-  content_verdict verdict = content_verdict::accepted;
+  std::vector<std::uint64_t> suspicious;
   for (const std::uint64_t key : content.keys())
   {
-    const auto found = m_quarantined.find(key);
-    if (found == m_quarantined.end())
+    if (m_quarantined.contains(key))
     {
-      continue;
-    }
-    const quarantined_content& entry = found->second;
-    const bool may_try =
-        !entry.certain || (now - entry.last_evidence >= entry.retrial_delay && m_owns_trial(key));
-    // A crash under two suspicious contents would not tell which of them caused it.
-    if (!may_try || entry.in_trial || verdict == content_verdict::trial)
-    {
-      return content_verdict::refused;
+      suspicious.push_back(key);
     }
-    verdict = content_verdict::trial;
   }
-  return verdict;
+  if (suspicious.empty())
+  {
+    return content_verdict::accepted;
+  }
+  const std::uint64_t owned = *std::min_element(suspicious.begin(), suspicious.end());
+  const bool allowed =
+      std::all_of(suspicious.begin(), suspicious.end(),
+                  [&](std::uint64_t key)
+                  { return may_try(owned, m_quarantined.at(key), suspicious.size() == 1, now); });
+  return allowed ? content_verdict::trial : content_verdict::refused;
 }
 
 void crash_quarantine::begin_trial(const request_content& content)
@@ -115,9 +133,12 @@
   std::vector<std::uint64_t> cleared;
   for (const std::uint64_t key : content.keys())
   {
-    m_answered[key] = now;
+    answer& known = m_answered[key];
+    known.at = now;
+    known.own = true;
     if (clear(key))
     {
+      known.told_at = now;
       cleared.push_back(key);
     }
   }
@@ -128,7 +149,9 @@
 {
   for (const std::uint64_t key : clearance.keys)
   {
-    m_answered[key] = now;
+    answer& known = m_answered[key];
+    known.own = known.own && now - known.at < recent_answer_time;
+    known.at = now;
     clear(key);
   }
 }
@@ -155,7 +178,19 @@
 bool crash_quarantine::was_answered_since(std::uint64_t key, time_point since) const
 {
   const auto found = m_answered.find(key);
-  return found != m_answered.end() && found->second >= since;
+  return found != m_answered.end() && found->second.at >= since;
+}
+
+bool crash_quarantine::should_tell(std::uint64_t key, time_point now)
+{
+  const auto found = m_answered.find(key);
+  if (found == m_answered.end() || !found->second.own ||
+      now - found->second.told_at < tell_interval)
+  {
+    return false;
+  }
+  found->second.told_at = now;
+  return true;
 }
 
 bool crash_quarantine::is_proven(const request_content& content, time_point now) const
@@ -193,7 +228,7 @@
                   [this, now, &answered](std::uint64_t key)
                   {
                     const bool recently = was_answered_since(key, now - recent_answer_time);
-                    if (recently)
+                    if (recently && should_tell(key, now))
                     {
                       answered.push_back(key);
                     }
@@ -223,11 +258,16 @@
     {
       if (const auto known = m_quarantined.find(key); known != m_quarantined.end())
       {
+        // Of the reports of one failed trial only the first one counts.
+        if (now - known->second.last_evidence >= known->second.retrial_delay)
+        {
+          known->second.retrial_delay =
+              std::min(known->second.retrial_delay * 2, max_retrial_delay);
+        }
         known->second.last_evidence = now;
-        known->second.retrial_delay = std::min(known->second.retrial_delay * 2, max_retrial_delay);
       }
     }
-    if (found->suspects.size() < max_suspects_per_crash)
+    if (found->suspects.size() < max_suspects_per_crash && suspect.size() <= max_keys_per_suspect)
     {
       found->suspects.push_back(suspect);
     }
@@ -362,8 +402,12 @@
   {
     m_answers_swept = now;
     std::erase_if(m_answered,
-                  [now](const auto& item) { return now - item.second > proof_lifetime; });
+                  [now](const auto& item) { return now - item.second.at > proof_lifetime; });
   }
+  std::erase_if(m_quarantined,
+                [now](const auto& item) {
+                  return !item.second.certain && now - item.second.last_evidence > crash_lifetime;
+                });
 }
 
 std::optional<peers::quarantine_digest> crash_quarantine::make_digest(time_point now) const
@@ -386,10 +430,14 @@
   std::vector<std::uint64_t> answered;
   for (const auto& received : digest.entries)
   {
-    const auto last_evidence = now - milliseconds(received.age_ms);
+    const auto age = std::min<std::uint64_t>(received.age_ms, max_retrial_delay.count());
+    const auto last_evidence = now - milliseconds(age);
     if (was_answered_since(received.key, last_evidence))
     {
-      answered.push_back(received.key);
+      if (should_tell(received.key, now))
+      {
+        answered.push_back(received.key);
+      }
       continue;
     }
     const auto [entry, added] = m_quarantined.try_emplace(received.key);
--- a/Source/Core/Gateway/CrashQuarantine.h
+++ b/Source/Core/Gateway/CrashQuarantine.h
@@ -112,6 +112,10 @@
   };
 
   bool was_answered_since(std::uint64_t key, time_point since) const;
+  /// Whether other entries should hear of an answer that they may not know; true once in a while.
+  bool should_tell(std::uint64_t key, time_point now);
+  bool may_try(std::uint64_t key, const quarantined_content& entry, bool alone,
+               time_point now) const;
   void add_suspects(const peers::crash_report& report, time_point now);
   bool is_explained(const crash& observed) const;
   std::unordered_map<std::uint64_t, std::size_t> count_crashes(time_point now) const;
@@ -123,8 +127,16 @@
   std::function<bool(std::uint64_t)> m_owns_trial;
   std::deque<crash> m_crashes;
   std::unordered_map<std::uint64_t, quarantined_content> m_quarantined;
-  /// When an answer to a request with this content last began.
-  std::unordered_map<std::uint64_t, time_point> m_answered;
+  struct answer
+  {
+    /// When an answer to a request with this content last began.
+    time_point at{};
+    /// This entry has seen it.
+    bool own = false;
+    time_point told_at{};
+  };
+
+  std::unordered_map<std::uint64_t, answer> m_answered;
   time_point m_answers_swept{};
 };
 
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -198,12 +198,6 @@
   }
 }
 
-void request_exchange::note_lost_server()
-{
-  m_server_lost = true;
-  m_context.crashes.add_lost_request(m_server, m_content);
-}
-
 void request_exchange::retry()
 {
   const bool wait =
@@ -486,10 +480,16 @@
   m_silence_timer.cancel();
   const auto now = std::chrono::steady_clock::now();
   const bool server_error = result.complete && m_head.status >= 500;
-  const bool truncated = result.complete && m_relaying_events && !m_event_relay.at_event_boundary();
+  // A stream that ends with its connection is complete only if it has begun.
+  const bool is_empty = result.connection_lost && !m_attempt_answered && !m_response_started;
+  const bool truncated =
+      result.complete && m_relaying_events && (!m_event_relay.at_event_boundary() || is_empty);
   if (result.complete && !server_error && !truncated)
   {
-    note_answer();
+    if (m_head.status < 300)
+    {
+      note_answer();
+    }
     m_context.backends.end_attempt(m_server, attempt_health::healthy, now);
     forward_response();
     return;
@@ -513,9 +513,10 @@
     health = attempt_health::unreachable;
   }
   m_context.backends.end_attempt(m_server, health, now, result.at_fault);
-  if (result.connection_lost && !result.stale_connection && !m_attempt_answered)
+  if (result.connection_lost && !m_attempt_answered)
   {
-    note_lost_server();
+    m_server_lost = !result.stale_connection;
+    m_context.crashes.add_lost_request(m_server, m_content);
   }
   m_may_have_run += end == attempt_end::unknown || end == attempt_end::server_error ? 1U : 0U;
   m_last_end = end;
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -71,7 +71,6 @@
   bool check_content();
   /// A server has begun to answer.
   void note_answer();
-  void note_lost_server();
   void refuse_quarantined();
   void retry();
   void end_trial();
--- a/Source/UnitTests/Gateway/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Gateway/CrashQuarantineTest.cpp
@@ -241,6 +241,7 @@
   CPPUNIT_TEST_SUITE(crash_quarantine_test);
   CPPUNIT_TEST(content_of_two_crashes_is_refused);
   CPPUNIT_TEST(content_that_is_always_present_together_waits_for_a_trial);
+  CPPUNIT_TEST(content_that_only_comes_together_is_tried_by_one_entry);
   CPPUNIT_TEST(answered_content_is_not_blamed);
   CPPUNIT_TEST(explained_crashes_blame_no_other_content);
   CPPUNIT_TEST(entry_that_missed_the_reports_learns_from_a_digest);
@@ -301,6 +302,31 @@
     CPPUNIT_ASSERT(judge({"dead"}) == content_verdict::refused);
   }
 
+  /// Guards against a route whose requests all hold the same two parts, and which is refused for
+  /// good after the loss of all its servers.
+  void content_that_only_comes_together_is_tried_by_one_entry()
+  {
+    crash_quarantine owner([](std::uint64_t) { return true; });
+    for (const auto* server : {"s1", "s2", "s3"})
+    {
+      const auto report = make_report(server, {make({"f", "g"}, server)});
+      owner.add_own_crash(report, m_now);
+      m_quarantine.add_crash(report, m_now);
+    }
+    m_now += crash_settle_time;
+    CPPUNIT_ASSERT(owner.evaluate(m_now));
+    CPPUNIT_ASSERT(m_quarantine.evaluate(m_now));
+    CPPUNIT_ASSERT(owner.judge(make({"f", "g"}, "1"), m_now) == content_verdict::refused);
+    m_now += seconds(5);
+    CPPUNIT_ASSERT(owner.judge(make({"f", "g"}, "1"), m_now) == content_verdict::trial);
+    CPPUNIT_ASSERT(judge({"f", "g"}) == content_verdict::refused);
+    const auto trial = make({"f", "g"}, "2");
+    owner.begin_trial(trial);
+    CPPUNIT_ASSERT(owner.judge(make({"f", "g"}, "3"), m_now) == content_verdict::refused);
+    m_quarantine.add_clearance({owner.add_answer(trial, m_now)}, m_now);
+    CPPUNIT_ASSERT(judge({"f", "g"}) == content_verdict::accepted);
+  }
+
   /// Guards against popular content that is refused when several servers are lost at once.
   void answered_content_is_not_blamed()
   {
@@ -324,7 +350,12 @@
     m_quarantine.add_clearance({popular.keys()}, m_now);
     CPPUNIT_ASSERT(judge({"popular"}) == content_verdict::accepted);
     const auto report = make_report("s7", {popular});
+    // An entry tells of the answers that it has seen itself, once.
+    CPPUNIT_ASSERT(m_quarantine.add_crash(report, m_now).empty());
+    m_quarantine.add_answer(popular, m_now);
+    m_now += milliseconds(300);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_quarantine.add_crash(report, m_now).size());
+    CPPUNIT_ASSERT(m_quarantine.add_crash(report, m_now).empty());
   }
 
   void explained_crashes_blame_no_other_content()
@@ -348,6 +379,10 @@
     crash_quarantine other([](std::uint64_t) { return false; });
     CPPUNIT_ASSERT(other.merge(*m_quarantine.make_digest(m_now), m_now).empty());
     CPPUNIT_ASSERT(other.judge(make({"dead"}, "3"), m_now) == content_verdict::refused);
+    // Ages that no clock can have are cut.
+    crash_quarantine strange([](std::uint64_t) { return false; });
+    strange.merge({{{make({"x"}, "1").parts.front(), ~std::uint64_t{0}, true}}}, m_now);
+    CPPUNIT_ASSERT(strange.judge(make({"x"}, "2"), m_now) == content_verdict::refused);
     // An entry that has seen an answer since the last crash knows better.
     m_now += seconds(2);
     crash_quarantine third([](std::uint64_t) { return false; });
@@ -364,16 +399,18 @@
     add_crash("s1", {make({"dead"}, "1"), make({"b"}, "b1")});
     add_crash("s2", {make({"dead"}, "2")});
     owner.merge(*m_quarantine.make_digest(m_now), m_now);
-    m_now += seconds(59);
+    m_now += seconds(29);
     CPPUNIT_ASSERT(owner.judge(make({"dead"}, "3"), m_now) == content_verdict::refused);
     m_now += seconds(2);
     CPPUNIT_ASSERT(owner.judge(make({"dead"}, "3"), m_now) == content_verdict::trial);
     CPPUNIT_ASSERT(judge({"dead"}) == content_verdict::refused);
     owner.add_own_crash(make_report("s3", {make({"dead"}, "3")}), m_now);
     CPPUNIT_ASSERT(owner.judge(make({"dead"}, "4"), m_now) == content_verdict::refused);
-    m_now += seconds(61);
+    // A second report of the same crash does not postpone the next trial.
+    owner.add_crash(make_report("s3", {make({"dead"}, "x"), make({"dead"}, "y")}), m_now);
+    m_now += seconds(31);
     CPPUNIT_ASSERT(owner.judge(make({"dead"}, "4"), m_now) == content_verdict::refused);
-    m_now += seconds(61);
+    m_now += seconds(31);
     CPPUNIT_ASSERT(owner.judge(make({"dead"}, "4"), m_now) == content_verdict::trial);
   }
 
--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(endless_response_ends_with_an_answer_to_the_caller);
   CPPUNIT_TEST(trickle_without_events_moves_to_another_server);
   CPPUNIT_TEST(stream_resumes_at_another_server);
+  CPPUNIT_TEST(stream_that_ends_before_its_first_event_is_repeated);
   CPPUNIT_TEST(long_stream_moves_from_a_pipeline_to_one_engine);
   CPPUNIT_TEST(broken_stream_does_not_appear_complete);
   CPPUNIT_TEST(caller_disconnect_cancels_the_request);
@@ -226,6 +227,29 @@
     CPPUNIT_ASSERT_EQUAL(std::string("1"), *head.find("X-Pollenyoke-Request-Priority"));
   }
 
+  /// Guards against a server that crashes before the first event of an answer that ends with its
+  /// connection: an empty stream would look complete.
+  void stream_that_ends_before_its_first_event_is_repeated()
+  {
+    add_server();
+    unsigned count = 0;
+    for (const auto& server : m_servers)
+    {
+      server->behaviour = [&count](const message_head&)
+      {
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Pollenyoke-Request-Id: r1\r\n"
+                                 "X-Pollenyoke-Response-Seal: seal\r\n"
+                                 "Content-Type: text/event-stream\r\n\r\n";
+        const std::string event = "id: 1\ndata: a\n\n";
+        return scripted_server::scripted_response{++count == 1 ? head : head + event, true};
+      };
+    }
+    send(request("/stream/a", "r1"));
+    const auto reply = wait_for_response();
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), reply.body);
+    CPPUNIT_ASSERT_EQUAL(2U, count);
+  }
+
   /// Guards against pipeline responses, which are five times as slow, that reach the route's time
   /// limit although an engine with all layers has become available.
   void long_stream_moves_from_a_pipeline_to_one_engine()
