--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -72,6 +72,9 @@
   CPPUNIT_TEST(unresponsive_reader_is_bypassed);
   CPPUNIT_TEST(stale_reader_is_bypassed);
   CPPUNIT_TEST(silent_reader_does_not_delay_the_news_of_leaving_servers);
+  CPPUNIT_TEST(lost_read_of_the_store_does_not_delay_the_news_of_leaving_servers);
+  CPPUNIT_TEST(servers_are_read_as_soon_as_the_store_answers_another_read);
+  CPPUNIT_TEST(peer_with_current_state_is_asked_again);
   CPPUNIT_TEST(every_reader_is_asked_before_store);
   CPPUNIT_TEST(agents_do_not_read_the_store_when_their_readers_are_down);
   CPPUNIT_TEST(stalled_read_of_the_store_is_not_repeated_at_once);
@@ -97,6 +100,8 @@
     std::function<void(result<relay_page>)> done;
   };
   std::vector<sent_request> m_requests;
+  /// Peers that are named in turn; "peer" if empty.
+  std::deque<std::string> m_peers;
   int m_peer_request_count = 0;
 
   state_follower<scripted_store> make_follower(bool follow_backends,
@@ -118,7 +123,14 @@
              [this]
          {
            ++m_peer_request_count;
-           return std::optional<std::string>("peer");
+           if (m_peers.empty())
+           {
+             return std::optional<std::string>("peer");
+           }
+           const std::string next = m_peers.front();
+           m_peers.pop_front();
+           m_peers.push_back(next);
+           return std::optional(next);
          },
          .ask =
              [this](const std::string& ip, const changes_request& request, auto done)
@@ -375,6 +387,75 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, requests_to("reader"));
   }
 
+  /// Guards against requests to a server that has said that it leaves, while the reader of the
+  /// failure domain waits for an answer of the store that was lost.
+  void lost_read_of_the_store_does_not_delay_the_news_of_leaving_servers()
+  {
+    auto follower = make_follower(true);
+    follower.start();
+    m_store.answer(page({}, 0));
+    m_store.answer(page({{"s1", "ready", 4}}, 5));
+    const auto reads_of_servers = [this]
+    {
+      return std::count_if(m_store.calls.begin(), m_store.calls.end(),
+                           [](const scripted_store::call& call)
+                           { return call.operation == "read servers 5"; });
+    };
+    run_until([&] { return reads_of_servers() == 2; });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, reads_of_servers());
+    m_store.calls.back().done(page({{"s1", "draining", 5}}, 6));
+    CPPUNIT_ASSERT_EQUAL(std::string("draining"), m_records["s1"]);
+  }
+
+  /// Guards against state of the servers that stays old for another second after the store is back,
+  /// because their read waits for its pause.
+  void servers_are_read_as_soon_as_the_store_answers_another_read()
+  {
+    auto follower = make_follower(true);
+    follower.start();
+    m_store.answer(page({{"config", "1", 0}}, 1));
+    m_store.answer(page({{"s1", "up", 0}}, 1));
+    std::optional<scripted_store::call> long_read;
+    // The read of the servers fails until its pause has grown.
+    for (int failures = 0; failures < 4;)
+    {
+      run_until_call();
+      if (m_store.next_call() == "read op 1")
+      {
+        long_read = std::move(m_store.calls.front());
+        m_store.calls.pop_front();
+        continue;
+      }
+      m_store.answer(fail(error_code::timeout, "silent"));
+      ++failures;
+    }
+    CPPUNIT_ASSERT(long_read);
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), m_store.next_call());
+    long_read->done(page({{"config", "2", 1}}, 2));
+    CPPUNIT_ASSERT_EQUAL(std::string("read servers 1"), m_store.next_call());
+  }
+
+  /// Guards against state that grows old beside a current peer, because the next peers in turn are
+  /// as cut off from the store as this process.
+  void peer_with_current_state_is_asked_again()
+  {
+    m_peers = {"cut off", "current", "cut off too"};
+    m_responses["cut off"] = {changes({}, 1, 5000)};
+    m_responses["current"] = {changes({}, 1), changes({}, 1)};
+    auto follower = make_follower(false);
+    follower.start();
+    m_store.answer(page({{"config", "1", 0}}, 1));
+    run_until_call();
+    m_store.answer(fail(error_code::unavailable, "503"));
+    run_until([this] { return m_requests.size() >= 3; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_to("cut off"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, requests_to("current"));
+    // A peer that has fallen behind is left.
+    m_responses["current"] = {changes({}, 1, 5000)};
+    run_until([this] { return requests_to("cut off too") == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_to("cut off too"));
+  }
+
   /// Guards against all processes of a failure domain reading the store at once when its first
   /// readers are cut off or have lost power together, which saturates the regional links.
   void every_reader_is_asked_before_store()
--- a/Source/UnitTests/StateFeed/TopicStateTest.cpp
+++ b/Source/UnitTests/StateFeed/TopicStateTest.cpp
@@ -1,3 +1,4 @@
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,15 +32,27 @@
   CPPUNIT_TEST(page_of_a_long_configuration_is_small_on_the_link);
   CPPUNIT_TEST(removal_while_confirmed_is_final);
   CPPUNIT_TEST(record_removed_in_outage_may_return);
+  CPPUNIT_TEST(server_that_wrote_while_this_process_was_cut_off_has_left);
+  CPPUNIT_TEST(server_that_stopped_writing_in_an_outage_may_return);
   CPPUNIT_TEST(truncated_relay_page_is_an_error);
   CPPUNIT_TEST_SUITE_END();
 
   std::vector<std::string> m_applied;
+  topic_state::time_point m_now = start_time;
+  /// Until when the server that was removed last may return.
+  std::optional<topic_state::time_point> m_kept_until;
   topic_state m_state{[this](const record& change)
                       {
                         m_applied.push_back(change.key + "=" + change.value.value_or("-"));
+                        m_kept_until = m_state.may_return_until(m_now);
                       }};
 
+  void apply_changes(std::vector<record> records, std::uint64_t end, milliseconds since_start)
+  {
+    m_now = start_time + since_start;
+    m_state.apply_changes(page(std::move(records), end), m_now);
+  }
+
 public:
   /// Guards against a configuration that reverts to an older version when a peer is behind.
   void older_records_are_ignored()
@@ -140,6 +153,28 @@
     CPPUNIT_ASSERT(!m_state.may_return_until(recovered + reregistration_window));
   }
 
+  /// Guards against requests to a server that left while only this process could not reach the
+  /// store: the store was up, as the server went on writing its record.
+  void server_that_wrote_while_this_process_was_cut_off_has_left()
+  {
+    m_state.apply_newest(page({{"a", "1", 1}, {"b", "1", 2}}, 3), start_time);
+    apply_changes({{"a", "2", 3}, {"b", "2", 4}}, 5, milliseconds(1000));
+    apply_changes({{"a", "3", 5}, {"b", "3", 6}, {"a", "4", 7}, {"a", std::nullopt, 8}}, 9,
+                  milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::string("a=-"), m_applied.back());
+    CPPUNIT_ASSERT(!m_kept_until);
+  }
+
+  /// Guards against a fleet without servers after an outage of the store in which all their records
+  /// expired.
+  void server_that_stopped_writing_in_an_outage_may_return()
+  {
+    m_state.apply_newest(page({{"a", "1", 1}}, 2), start_time);
+    apply_changes({{"a", "2", 2}}, 3, milliseconds(1000));
+    apply_changes({{"a", "3", 3}, {"a", std::nullopt, 4}}, 5, milliseconds(6000));
+    CPPUNIT_ASSERT(m_kept_until == m_now + reregistration_window);
+  }
+
   void truncated_relay_page_is_an_error()
   {
     const std::string good = encode_relay_page({true, true, page({{"a", "1", 1}}, 2), 5});
