StateFeed: a server that wrote its record during the gap has left when its record goes

Cause: after a gap of two seconds without confirmed state, each removed record counted as one that had expired in an outage of the store, and its server stayed in use for 2.3 s from the end of the gap. A gap at one process is no outage of the store, and a long gap proves nothing about a server that wrote in between.

Change: topic_state keeps, for each record, a lower bound of the time at which it was written, from the changes that a page lists in their order. A record expires after three heartbeat intervals without a write; a removal that comes sooner is the server's own. A process passes what it has found on with the removal, as pages between processes hold only the newest change of each key. The interval is a setting (backend_heartbeat_ms), filled in by the platform.

--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -35,7 +35,8 @@
       : m_settings(settings), m_caller(m_loop), m_monitor(m_loop, m_caller),
         m_store(m_caller, settings.store),
         m_peers(m_loop, m_caller, m_store, settings, make_peer_handlers()),
-        m_feed(m_loop, m_store, make_feed_handlers(), true),
+        m_feed(m_loop, m_store, make_feed_handlers(), true, state_feed::store_use::direct,
+               settings.backend_heartbeat),
         m_gateway(m_loop, settings,
                   {.live = [this] { return m_peers.live(peers::peer_role::entry).size(); },
                    .possible =
--- a/Source/Core/StateFeed/Records.h
+++ b/Source/Core/StateFeed/Records.h
@@ -23,11 +23,14 @@
   std::string key;
   std::optional<std::string> value;
   std::uint64_t offset = 0;
+  /// Of a removal: its owner may not have removed it; it may have expired while its owner could not
+  /// write.
+  bool may_have_expired = true;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(key, value, offset);
+    archive(key, value, offset, may_have_expired);
   }
 };
 
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -90,7 +90,8 @@
 {
 public:
   state_follower(async_io::event_loop& loop, Store& store, feed_handlers handlers,
-                 bool follow_backends, store_use use = store_use::direct)
+                 bool follow_backends, store_use use = store_use::direct,
+                 std::chrono::milliseconds backend_heartbeat = default_heartbeat)
       : m_store(store), m_handlers(std::move(handlers)), m_follow_backends(follow_backends),
         m_store_use(use),
         m_operator(
@@ -99,9 +100,11 @@
             [this] { return last_confirmed(); }),
         m_backends(
             loop, record_topic::backend_servers,
-            [this](const record& change)
-            { m_handlers.on_backend_record(change, m_backends.state.may_return_until(now())); },
-            [this] { return m_backends.state.confirmed_at(); }),
+            [this](const record& change) {
+              m_handlers.on_backend_record(change,
+                                           m_backends.state.may_return_until(change, now()));
+            },
+            [this] { return m_backends.state.confirmed_at(); }, backend_heartbeat),
         m_catch_up_timer(loop), m_peer_timer(loop), m_backend_age_timer(loop)
   {
   }
@@ -161,9 +164,10 @@
   {
     topic_feed(async_io::event_loop& loop, record_topic followed,
                topic_state::change_handler on_change,
-               std::function<async_io::time_point()> confirmed_at)
-        : topic(followed), state(std::move(on_change)), relay(loop, state, std::move(confirmed_at)),
-          timer(loop)
+               std::function<async_io::time_point()> confirmed_at,
+               std::chrono::milliseconds heartbeat = default_heartbeat)
+        : topic(followed), state(std::move(on_change), heartbeat),
+          relay(loop, state, std::move(confirmed_at)), timer(loop)
     {
     }
 
--- a/Source/Core/StateFeed/TopicState.cpp
+++ b/Source/Core/StateFeed/TopicState.cpp
@@ -12,33 +12,68 @@
 // Holds about ten seconds of records from sixty backend servers; a reader that is further behind
 // receives the newest record of every key instead.
 constexpr std::size_t max_recent_changes = 512;
+// Records expire after three heartbeat intervals without a write.
+constexpr int missed_heartbeats = 3;
+// Owners keep to the interval only approximately.
+constexpr int min_interval_percent = 95;
 
 } // namespace
 
-topic_state::topic_state(change_handler on_change) : m_on_change(std::move(on_change)) {}
+topic_state::topic_state(change_handler on_change, std::chrono::milliseconds heartbeat)
+    : m_on_change(std::move(on_change)), m_min_interval(heartbeat * min_interval_percent / 100)
+{
+}
 
-void topic_state::apply(const record& change)
+void topic_state::apply(const record& change, time_point confirmed)
 {
   const auto existing = m_records.find(change.key);
-  if (existing != m_records.end() && change.offset <= existing->second.offset)
+  if (existing != m_records.end() && change.offset <= existing->second.newest.offset)
   {
     return;
   }
   if (change.value)
   {
-    m_records[change.key] = change;
+    put(change, confirmed);
+    return;
   }
-  else if (existing != m_records.end())
+  remove(change);
+}
+
+/// A page tells the order of changes, not their times. Its changes were written after the state was
+/// confirmed last, and those of one key at least an interval apart.
+void topic_state::put(const record& change, time_point confirmed)
+{
+  known_record& known =
+      m_records.try_emplace(change.key, known_record{{}, confirmed}).first->second;
+  const bool has_earlier = !known.newest.key.empty() && known.written_after >= confirmed;
+  known.written_after =
+      has_earlier ? std::min(m_confirmed_at, known.written_after + m_min_interval) : confirmed;
+  known.newest = change;
+  add_recent_change(change);
+  ++m_revision;
+  m_on_change(change);
+}
+
+/// An owner that wrote its record less than three heartbeat intervals ago has removed it itself.
+void topic_state::remove(record removal)
+{
+  const auto known = m_records.find(removal.key);
+  if (known != m_records.end())
   {
-    m_records.erase(existing);
+    const auto silence = m_confirmed_at - known->second.written_after;
+    removal.may_have_expired =
+        removal.may_have_expired && silence >= missed_heartbeats * m_min_interval;
+    m_records.erase(known);
   }
+  add_recent_change(removal);
   ++m_revision;
-  m_on_change(change);
+  m_on_change(removal);
 }
 
+/// A shorter gap cannot have expired a record: its last heartbeat was up to one interval before.
 void topic_state::confirm(time_point when)
 {
-  if (m_initialized && when - m_confirmed_at >= min_expiry_outage)
+  if (m_initialized && when - m_confirmed_at >= (missed_heartbeats - 1) * m_min_interval)
   {
     m_outage_end = when;
   }
@@ -56,13 +91,13 @@
 
 void topic_state::apply_changes(const record_page& page, time_point now)
 {
+  const time_point confirmed = m_confirmed_at;
   confirm(now);
   for (const record& change : page.records)
   {
     if (change.offset >= m_next_offset)
     {
-      apply(change);
-      add_recent_change(change);
+      apply(change, confirmed);
     }
   }
   while (m_recent_changes.size() > max_recent_changes)
@@ -84,26 +119,25 @@
     // The page is older than the state already applied.
     return;
   }
+  const time_point confirmed = m_confirmed_at;
   confirm(now);
   std::set<std::string> present;
   for (const record& newest : page.records)
   {
     present.insert(newest.key);
-    apply(newest);
+    apply(newest, confirmed);
   }
   std::vector<std::string> removed;
-  for (const auto& [key, value] : m_records)
+  for (const auto& [key, known] : m_records)
   {
-    if (!present.contains(key) && value.offset < page.end)
+    if (!present.contains(key) && known.newest.offset < page.end)
     {
       removed.push_back(key);
     }
   }
   for (const std::string& key : removed)
   {
-    m_records.erase(key);
-    ++m_revision;
-    m_on_change({key, std::nullopt, page.end});
+    remove({key, std::nullopt, page.end});
   }
   m_next_offset = std::max(m_next_offset, page.next);
   m_recent_changes.clear();
@@ -132,9 +166,10 @@
   return m_confirmed_at;
 }
 
-std::optional<topic_state::time_point> topic_state::may_return_until(time_point now) const
+std::optional<topic_state::time_point> topic_state::may_return_until(const record& removal,
+                                                                     time_point now) const
 {
-  if (!m_outage_end || now >= *m_outage_end + reregistration_window)
+  if (!removal.may_have_expired || !m_outage_end || now >= *m_outage_end + reregistration_window)
   {
     return std::nullopt;
   }
@@ -160,9 +195,9 @@
   record_page page;
   page.end = m_next_offset;
   page.next = m_next_offset;
-  for (const auto& [key, value] : m_records)
+  for (const auto& [key, known] : m_records)
   {
-    page.records.push_back(value);
+    page.records.push_back(known.newest);
   }
   return page;
 }
--- a/Source/Core/StateFeed/TopicState.h
+++ b/Source/Core/StateFeed/TopicState.h
@@ -16,9 +16,7 @@
 // Backend servers whose records expired during a store outage write them again within about 2 s of
 // the store's recovery.
 constexpr std::chrono::milliseconds reregistration_window{2300};
-// Records expire after three missed heartbeats of over a second each, so that a shorter outage of
-// the store cannot have expired any.
-constexpr std::chrono::milliseconds min_expiry_outage{2000};
+constexpr std::chrono::milliseconds default_heartbeat{1200};
 
 /// The newest known record of each key of one topic, from the store or from a peer. A record never
 /// replaces a newer one. Not thread-safe.
@@ -28,7 +26,9 @@
   using time_point = std::chrono::steady_clock::time_point;
   using change_handler = std::function<void(const record&)>;
 
-  explicit topic_state(change_handler on_change);
+  /// `heartbeat`: interval at which the owner of a record writes it.
+  explicit topic_state(change_handler on_change,
+                       std::chrono::milliseconds heartbeat = default_heartbeat);
 
   /// Applies changes, which must be in order of their offsets.
   void apply_changes(const record_page& page, time_point now);
@@ -41,21 +41,33 @@
   std::uint64_t revision() const;
   /// When this state was last confirmed to be current.
   time_point confirmed_at() const;
-  /// Until when a record that is removed now may return, because it may only have expired during an
-  /// outage of the store; empty if the removal is final.
-  std::optional<time_point> may_return_until(time_point now) const;
+  /// Until when a removed record may return, because it may only have expired during an outage of
+  /// the store; empty if the removal is final.
+  std::optional<time_point> may_return_until(const record& removal, time_point now) const;
   record_page newest() const;
   /// Changes from an offset on; empty if they are no longer kept and the reader has to
   /// use newest().
   std::optional<record_page> changes_since(std::uint64_t offset) const;
 
 private:
-  void apply(const record& change);
+  struct known_record
+  {
+    record newest;
+    /// The record was not written before.
+    time_point written_after;
+  };
+
+  /// `confirmed`: when the state before the change was current.
+  void apply(const record& change, time_point confirmed);
+  void put(const record& change, time_point confirmed);
+  void remove(record removal);
   void add_recent_change(const record& change);
   void confirm(time_point when);
 
   change_handler m_on_change;
-  std::map<std::string, record> m_records;
+  /// Shortest interval between two writes of a record.
+  std::chrono::milliseconds m_min_interval;
+  std::map<std::string, known_record> m_records;
   /// The latest change of each key, oldest first, and the offset from which they are complete.
   std::deque<record> m_recent_changes;
   std::uint64_t m_recent_from_offset = 0;
--- a/Source/UnitTests/StateFeed/TopicStateTest.cpp
+++ b/Source/UnitTests/StateFeed/TopicStateTest.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(removal_while_confirmed_is_final);
   CPPUNIT_TEST(record_removed_in_outage_may_return);
   CPPUNIT_TEST(server_that_wrote_while_this_process_was_cut_off_has_left);
+  CPPUNIT_TEST(removal_that_a_reader_knows_to_be_final_is_final);
   CPPUNIT_TEST(server_that_stopped_writing_in_an_outage_may_return);
   CPPUNIT_TEST(truncated_relay_page_is_an_error);
   CPPUNIT_TEST_SUITE_END();
@@ -44,7 +45,7 @@
   topic_state m_state{[this](const record& change)
                       {
                         m_applied.push_back(change.key + "=" + change.value.value_or("-"));
-                        m_kept_until = m_state.may_return_until(m_now);
+                        m_kept_until = m_state.may_return_until(change, m_now);
                       }};
 
   void apply_changes(std::vector<record> records, std::uint64_t end, milliseconds since_start)
@@ -135,8 +136,8 @@
     {
       m_state.apply_changes(page({}, 2), start_time + milliseconds(500) * i);
     }
-    m_state.apply_changes(page({{"a", std::nullopt, 2}}, 3), start_time + milliseconds(10400));
-    CPPUNIT_ASSERT(!m_state.may_return_until(start_time + milliseconds(10400)));
+    apply_changes({{"a", std::nullopt, 2}}, 3, milliseconds(10400));
+    CPPUNIT_ASSERT(!m_kept_until);
   }
 
   /// Guards against counting the reregistration window from the removal of a server instead of from
@@ -145,12 +146,12 @@
   {
     m_state.apply_newest(page({{"a", "1", 1}, {"b", "1", 2}}, 3), start_time);
     const auto recovered = start_time + milliseconds(4000);
-    m_state.apply_changes(page({{"a", std::nullopt, 3}}, 4), recovered);
-    CPPUNIT_ASSERT(m_state.may_return_until(recovered) == recovered + reregistration_window);
-    m_state.apply_changes(page({{"b", std::nullopt, 4}}, 5), recovered + milliseconds(1900));
-    CPPUNIT_ASSERT(m_state.may_return_until(recovered + milliseconds(1900)) ==
-                   recovered + reregistration_window);
-    CPPUNIT_ASSERT(!m_state.may_return_until(recovered + reregistration_window));
+    apply_changes({{"a", std::nullopt, 3}}, 4, milliseconds(4000));
+    CPPUNIT_ASSERT(m_kept_until == recovered + reregistration_window);
+    apply_changes({{"b", std::nullopt, 4}}, 5, milliseconds(5900));
+    CPPUNIT_ASSERT(m_kept_until == recovered + reregistration_window);
+    apply_changes({{"c", std::nullopt, 5}}, 6, milliseconds(6300));
+    CPPUNIT_ASSERT(!m_kept_until);
   }
 
   /// Guards against requests to a server that left while only this process could not reach the
@@ -165,6 +166,18 @@
     CPPUNIT_ASSERT(!m_kept_until);
   }
 
+  /// Guards against the same at processes that take their state from a reader: its pages hold only
+  /// the newest change of each key.
+  void removal_that_a_reader_knows_to_be_final_is_final()
+  {
+    m_state.apply_newest(page({{"a", "1", 1}}, 2), start_time);
+    apply_changes({{"a", std::nullopt, 8, false}}, 9, milliseconds(6000));
+    CPPUNIT_ASSERT(!m_kept_until);
+    const auto changes = m_state.changes_since(2);
+    CPPUNIT_ASSERT(changes);
+    CPPUNIT_ASSERT(!changes->records.front().may_have_expired);
+  }
+
   /// Guards against a fleet without servers after an outage of the store in which all their records
   /// expired.
   void server_that_stopped_writing_in_an_outage_may_return()
