StateFeed: servers are read as soon as the store answers another read

After an outage the read of the backend servers waited for its pause, up to a second, although a read of the operator's records had been answered.

--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -352,7 +352,7 @@
     {
       m_store_unreachable = false;
       log_info(log_category::log, "store reachable again");
-      replace_read_of_outage(feed);
+      replace_reads_of_outage(feed);
     }
     if (!is_snapshot && page->end < feed.state.next_offset())
     {
@@ -425,13 +425,17 @@
     read_next(m_operator);
   }
 
-  /// A long read that was sent during an outage may never be answered, and its time limit is longer
-  /// than a change may take. Peers cannot tell either, if it concerned all readers.
-  void replace_read_of_outage(const topic_feed& answered)
+  /// A read that was sent during an outage may never be answered, and the pause after a failed one
+  /// is as long as a change may take. Peers cannot tell either, if it concerned all readers.
+  void replace_reads_of_outage(const topic_feed& answered)
   {
-    if (&answered != &m_operator && m_operator.current_reader.empty())
+    for (topic_feed* feed : {&m_operator, &m_backends})
     {
-      read_next(m_operator);
+      const bool is_followed = feed == &m_operator || m_follow_backends;
+      if (is_followed && feed != &answered && feed->current_reader.empty())
+      {
+        read_next(*feed);
+      }
     }
   }
 
