StateFeed: a lost read of the store delays the news of leaving servers no longer

The extra read at an age of 1.1 s was made only beside a silent reader, not beside the store. Its answer takes the place of the read that is not answered.

--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -48,8 +48,8 @@
 // wait for it: if each of them read the whole state, the regional link would be full for longer.
 constexpr std::chrono::milliseconds first_state_patience{4000};
 
-// State of the backend servers that is older than this is read from the store beside the reader
-// that does not answer; a leaving server must receive no requests after 2 s.
+// State of the backend servers that is older than this is read from the store beside the read that
+// is not answered; a leaving server must receive no requests after 2 s.
 constexpr std::chrono::milliseconds max_backend_age{1100};
 constexpr std::chrono::milliseconds backend_age_check_interval{100};
 // Longest interval between such reads while the store does not answer either.
@@ -440,12 +440,11 @@
   }
 
   /// Each reader that takes a request and does not answer costs its whole time limit, and several
-  /// may do so in turn.
+  /// may do so in turn. So does a read of the store whose answer is lost.
   void check_backend_age()
   {
     m_backend_age_timer.start(backend_age_check_interval, [this] { check_backend_age(); });
-    const bool asks_reader = !m_backends.current_reader.empty();
-    if (!asks_reader || m_store_use != store_use::direct || !m_backends.state.is_initialized() ||
+    if (m_store_use != store_use::direct || !m_backends.state.is_initialized() ||
         m_backends.resync || now() - m_backends.state.confirmed_at() < max_backend_age ||
         now() < m_extra_read_at + m_extra_read_interval)
     {
@@ -464,6 +463,12 @@
       return;
     }
     m_extra_read_interval = max_backend_age;
+    if (m_backends.current_reader.empty())
+    {
+      // Takes the place of the read whose answer has not come.
+      on_store_page(m_backends, ++m_backends.read_number, page, false);
+      return;
+    }
     m_backends.state.apply_changes(*page, now());
     m_backends.relay.notify();
   }
