--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -262,8 +262,7 @@
                      const result<relay_page>& page)
   {
     apply_relay_page(feed, page);
-    const bool usable =
-        page && page->has_state && std::chrono::milliseconds(page->age_ms) < max_relay_age;
+    const bool usable = is_current(page);
     const bool awaits_first_state = page && !page->has_state && !feed.state.is_initialized() &&
                                     now() - m_started < first_state_patience;
     if (!usable && !awaits_first_state)
@@ -486,7 +485,8 @@
                            request_from_peer();
                          }
                        });
-    const auto peer = m_handlers.next_peer();
+    const auto peer = m_current_peer ? m_current_peer : m_handlers.next_peer();
+    m_current_peer.reset();
     if (!peer)
     {
       return;
@@ -502,7 +502,21 @@
   {
     // The peer may be cut off from the store too, so the age of its state is kept.
     m_handlers.ask(peer, make_request(feed, false),
-                   [this, &feed](const result<relay_page>& page) { apply_relay_page(feed, page); });
+                   [this, &feed, peer](const result<relay_page>& page)
+                   {
+                     apply_relay_page(feed, page);
+                     // The backend servers are read most often, so their state tells soonest.
+                     const bool decides = !m_follow_backends || &feed == &m_backends;
+                     if (decides && is_current(page))
+                     {
+                       m_current_peer = peer;
+                     }
+                   });
+  }
+
+  static bool is_current(const result<relay_page>& page)
+  {
+    return page && page->has_state && std::chrono::milliseconds(page->age_ms) < max_relay_age;
   }
 
   Store& m_store;
@@ -518,6 +532,8 @@
   async_io::timer m_backend_age_timer;
   async_io::time_point m_extra_read_at{};
   std::chrono::milliseconds m_extra_read_interval = max_backend_age;
+  /// Peer that had current state when it was asked last; it is asked again before the next one.
+  std::optional<std::string> m_current_peer;
   std::uint64_t m_peer_offset = 0;
   bool m_initialized = false;
   bool m_store_unreachable = false;
