Gateway: an attempt at a silent server is given up only where the request can be sent again

With the budget used up, as in releases and outages, or with no attempt left, the connection to the caller was closed.

Other places that end an attempt: the deadline, an answer that is too long or no answer at all, content that crashes servers; these stay.

Gateway.Forwarding and Gateway.Pipeline pass.

--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -422,15 +422,26 @@
   m_silence_timer.start(limit, [self = shared_from_this()] { self->handle_silence(); });
 }
 
-/// Abandons the attempt if a retry is allowed and another server can respond in time; otherwise
-/// keeps waiting, as the server may still respond.
+/// An attempt whose server may still respond is abandoned only where the request can really be sent
+/// again: otherwise an answer that would have come is cut.
+std::optional<backend_choice> request_exchange::find_replacement()
+{
+  const auto now = std::chrono::steady_clock::now();
+  retry_state moved = make_retry_state(attempt_end::unknown);
+  ++moved.may_have_run;
+  if (!m_attempt || decide_retry(moved) != retry_action::retry ||
+      !m_context.budget(m_request.service).allows_retry(now, m_context.possible_entries()))
+  {
+    return std::nullopt;
+  }
+  auto choice = m_context.backends.choose(make_choice_request(), now);
+  const bool in_time = choice && choice->first_byte_ms < static_cast<double>(time_left().count());
+  return in_time ? std::move(choice) : std::nullopt;
+}
+
 void request_exchange::handle_silence()
 {
-  const auto choice =
-      m_context.backends.choose(make_choice_request(), std::chrono::steady_clock::now());
-  const bool can_move = m_attempt && choice && m_may_have_run + 1 < m_request.route->max_attempts &&
-                        choice->first_byte_ms < static_cast<double>(time_left().count());
-  if (can_move)
+  if (find_replacement())
   {
     m_attempt->abandon("server is silent");
     return;
@@ -440,18 +451,12 @@
 
 void request_exchange::leave_pipeline()
 {
-  const auto now = std::chrono::steady_clock::now();
   if (m_ended || !m_attempt || m_server.pipeline.empty())
   {
     return;
   }
-  retry_state moved = make_retry_state(attempt_end::unknown);
-  ++moved.may_have_run;
-  const auto choice = m_context.backends.choose(make_choice_request(), now);
-  const bool can_move =
-      choice && choice->pipeline.empty() && decide_retry(moved) == retry_action::retry &&
-      m_context.budget(m_request.service).allows_retry(now, m_context.possible_entries());
-  if (!can_move)
+  const auto choice = find_replacement();
+  if (!choice || !choice->pipeline.empty())
   {
     m_pipeline_timer.start(pipeline_recheck_interval,
                            [self = shared_from_this()] { self->leave_pipeline(); });
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -83,6 +83,10 @@
   void forward_response();
   void flush_stream_head();
   void restart_silence_timer();
+  /// Server to which the request may move now from one that still works on it; empty if the rules
+  /// of the request, its attempts or the retry budget do not allow it, or none can respond in time.
+  std::optional<backend_choice> find_replacement();
+  /// Moves the request to another server, if one is available.
   void handle_silence();
   /// Moves a stream from a pipeline to an engine with all layers, if one is available.
   void leave_pipeline();
