Gateway: servers say in their answers that they leave, or want no requests for a while

- Server-Leaving in any answer, refusals and late answers to earlier requests included: the server gets no new request, retry, trial or second stage from this process, whatever its record says; kept connections to it are closed; the other entries are told, and an agent passes it on with its load report.
It is tied to the id and start of the server.
What is under way goes on.
- 503 with Retry-After: no request until the time is over, and a little longer that differs between entries.
If all servers of a service want nothing, requests wait where half of the objective is enough, and are refused at once otherwise, with the end of the shortest pause as Retry-After.
Values that cannot be read are ignored with a log line; 300 s is the most.
- A request whose connection is established after such a notice is not sent.
- Log lines name the source and the age of the record; counters servers_leaving_by_answer, servers_leaving_by_peer, server_pauses.

--- a/Source/Core/AsyncIo/IdlePool.cpp
+++ b/Source/Core/AsyncIo/IdlePool.cpp
@@ -68,6 +68,20 @@
   list.push_back({connection, now + lifetime});
 }
 
+void idle_pool::drop(const transport::endpoint& address)
+{
+  const auto found = m_idle.find(address);
+  if (found == m_idle.end())
+  {
+    return;
+  }
+  for (const idle_connection& idle : found->second)
+  {
+    idle.connection->close();
+  }
+  m_idle.erase(found);
+}
+
 void idle_pool::clear()
 {
   for (const auto& [address, list] : m_idle)
--- a/Source/Core/AsyncIo/IdlePool.h
+++ b/Source/Core/AsyncIo/IdlePool.h
@@ -27,6 +27,8 @@
   /// Keeps the connection for at most `lifetime`.
   void put(const transport::endpoint& address, const tcp_connection::pointer& connection,
            std::chrono::milliseconds lifetime);
+  /// Closes the connections to an address.
+  void drop(const transport::endpoint& address);
   void clear();
 
 private:
--- a/Source/Core/Gateway/AdmissionPolicy.cpp
+++ b/Source/Core/Gateway/AdmissionPolicy.cpp
@@ -22,6 +22,25 @@
 constexpr double min_retry_ms = 120;
 constexpr double max_retry_ms = 1500;
 
+// A request waits for a server that wants none for a while only if the server still has the rest of
+// the objective.
+constexpr double max_hold_share = 0.5;
+constexpr double min_return_spread_ms = 100;
+
+/// All servers want no requests for a while.
+admission_decision wait_for_pause(const admission_input& input, double waited_ms)
+{
+  const double pause_ms = static_cast<double>(input.pause_left->count());
+  const double objective_ms = static_cast<double>(input.objective.count());
+  if (waited_ms + pause_ms <= objective_ms * max_hold_share)
+  {
+    return {.hold_for = *input.pause_left + std::chrono::milliseconds(1)};
+  }
+  const double spread_ms = std::max(min_return_spread_ms, pause_ms / 4) * input.random_fraction;
+  return {.retry_after =
+              std::chrono::milliseconds(static_cast<std::int64_t>(pause_ms + spread_ms))};
+}
+
 } // namespace
 
 admission_decision decide_admission(const admission_input& input)
@@ -38,6 +57,10 @@
   {
     return {.admitted = true};
   }
+  if (!input.first_byte_ms && input.pause_left)
+  {
+    return wait_for_pause(input, waited);
+  }
   const double wait = input.first_byte_ms ? estimate_ms - limit : outage_retry_ms;
   const double retry_ms =
       std::clamp(wait, min_retry_ms, std::min(max_retry_ms, std::max(left / 3, 1.0)));
--- a/Source/Core/Gateway/AdmissionPolicy.h
+++ b/Source/Core/Gateway/AdmissionPolicy.h
@@ -18,6 +18,9 @@
   /// Time limit of a request that has just been issued; the caller has already waited the
   /// difference to `time_left`.
   std::chrono::milliseconds time_limit{};
+  /// Without a server: time until the first one that wants no requests for a while takes them
+  /// again; empty if there is none.
+  std::optional<std::chrono::milliseconds> pause_left;
   /// Random number in [0, 1) that adds jitter to `retry_after`.
   double random_fraction = 0;
 };
@@ -25,6 +28,8 @@
 struct admission_decision
 {
   bool admitted = false;
+  /// Time after which the request can be sent; it is decided on again then.
+  std::optional<std::chrono::milliseconds> hold_for;
   /// Delay after which the caller should retry.
   std::chrono::milliseconds retry_after{};
 };
--- a/Source/Core/Gateway/BackendAttempt.cpp
+++ b/Source/Core/Gateway/BackendAttempt.cpp
@@ -108,6 +108,11 @@
 
 void backend_attempt::send()
 {
+  if (!m_request.may_send())
+  {
+    end({.end = attempt_end::not_sent, .reason = "server wants no more requests"});
+    return;
+  }
   const auto self = shared_from_this();
   if (m_request.is_head)
   {
@@ -183,6 +188,7 @@
     m_skip_message = true;
     return true;
   }
+  take_notice(head);
   const auto* id = head.find(names::request_id);
   if (id != nullptr && *id != m_request.request_id)
   {
@@ -210,6 +216,16 @@
   return !m_ended;
 }
 
+void backend_attempt::take_notice(const message_head& head)
+{
+  const protocol::server_notice notice = platform::decode_notice(head);
+  m_reusable = m_reusable && !notice.leaving;
+  if (notice.leaving || notice.pause || !notice.unreadable_pause.empty())
+  {
+    m_handlers.on_notice(notice);
+  }
+}
+
 void backend_attempt::start_next_message()
 {
   const std::string surplus = m_parser.take_surplus();
--- a/Source/Core/Gateway/BackendAttempt.h
+++ b/Source/Core/Gateway/BackendAttempt.h
@@ -24,6 +24,11 @@
   /// server closes an idle connection at the same time, it is unknown whether the request ran.
   bool may_reuse = false;
   std::chrono::milliseconds connect_timeout{300};
+  /// Asked when the connection stands; the request is not sent if it returns false.
+  std::function<bool()> may_send = []
+  {
+    return true;
+  };
 };
 
 struct attempt_result
@@ -50,6 +55,9 @@
 public:
   struct handlers
   {
+    /// Called for each answer that says something about the requests that its server wants, those
+    /// to earlier requests included.
+    std::function<void(const protocol::server_notice&)> on_notice;
     /// Called with the head of the final (not 1xx) response if the request ran.
     std::function<void(const async_io::message_head&)> on_head;
     /// May end the attempt with cancel() or abandon().
@@ -71,6 +79,7 @@
   void process();
   /// Returns false if the attempt ended; true if the head was passed on or the message is skipped.
   bool process_head();
+  void take_notice(const async_io::message_head& head);
   void start_next_message();
   void connection_ended(async_io::close_reason reason);
   void complete();
--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/BackendTable.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <functional>
 #include <vector>
@@ -122,7 +123,7 @@
   m_services = services;
 }
 
-void backend_table::put(const protocol::backend_entry& entry, time_point /*now*/)
+void backend_table::put(const protocol::backend_entry& entry, time_point now)
 {
   server& backend = m_servers[entry.id];
   const bool restarted =
@@ -133,8 +134,90 @@
     replacement.in_flight = backend.in_flight;
     backend = std::move(replacement);
   }
+  const bool says_leaving = entry.draining && !backend.entry.draining && !is_leaving(backend);
   backend.entry = entry;
+  backend.record_received = now;
   backend.expires_at.reset();
+  if (says_leaving)
+  {
+    log_leaving(backend, notice_source::store, now);
+  }
+}
+
+bool backend_table::add_leaving(const std::string& id, std::uint64_t started_ms,
+                                notice_source source, time_point now)
+{
+  if (!m_notices.add_leaving(id, started_ms))
+  {
+    return false;
+  }
+  const auto known = m_servers.find(id);
+  if (known != m_servers.end() && !known->second.entry.draining)
+  {
+    log_leaving(known->second, source, now);
+  }
+  return true;
+}
+
+void backend_table::log_leaving(const server& backend, notice_source source, time_point now)
+{
+  constexpr std::array<std::string_view, 4> sources{"store", "answer", "peer", "agent"};
+  const auto age = std::chrono::duration_cast<milliseconds>(now - backend.record_received);
+  log_info(log_category::membership, "backend server leaves",
+           {{"server", backend.entry.id},
+            {"from", sources.at(static_cast<std::size_t>(source))},
+            {"record_age_ms", age.count()}});
+}
+
+bool backend_table::begin_pause(const std::string& id, std::uint64_t started_ms,
+                                milliseconds length, time_point now)
+{
+  const double fraction = std::uniform_real_distribution<double>(0, 1)(m_random);
+  if (!m_notices.begin_pause(id, started_ms, length, fraction, now))
+  {
+    return false;
+  }
+  const auto until = m_notices.paused_until(id, started_ms, now);
+  const auto used =
+      until ? std::chrono::duration_cast<milliseconds>(*until - now) : milliseconds(0);
+  log_info(log_category::requests, "backend server wants no requests for a while",
+           {{"server", id}, {"asked_ms", length.count()}, {"pause_ms", used.count()}});
+  return true;
+}
+
+bool backend_table::wants_requests(const backend_choice& choice, time_point now) const
+{
+  const auto wants = [this, now](const std::string& id)
+  {
+    const auto known = m_servers.find(id);
+    const std::uint64_t started_ms = known == m_servers.end() ? 0 : known->second.entry.started_ms;
+    return !m_notices.is_leaving(id, started_ms) && !m_notices.paused_until(id, started_ms, now);
+  };
+  return wants(choice.id) &&
+         std::all_of(choice.pipeline.begin(), choice.pipeline.end(),
+                     [&wants](const protocol::pipeline_stage& stage) { return wants(stage.id); });
+}
+
+std::optional<milliseconds> backend_table::shortest_pause(const choice_request& request,
+                                                          time_point now) const
+{
+  std::optional<milliseconds> shortest;
+  for (const auto& [id, backend] : m_servers)
+  {
+    const auto until = m_notices.paused_until(id, backend.entry.started_ms, now);
+    if (until && is_willing(backend, request, now))
+    {
+      const auto left = std::chrono::duration_cast<milliseconds>(*until - now);
+      shortest = std::min(shortest.value_or(left), left);
+    }
+  }
+  return shortest;
+}
+
+std::optional<transport::endpoint> backend_table::address_of(const std::string& id) const
+{
+  const auto known = m_servers.find(id);
+  return known == m_servers.end() ? std::nullopt : std::optional(known->second.entry.address);
 }
 
 void backend_table::remove(const std::string& id, std::optional<time_point> keep_until)
@@ -165,6 +248,10 @@
     {
       continue;
     }
+    if (load.leaving && load.started_ms == backend.entry.started_ms)
+    {
+      (void)add_leaving(id, backend.entry.started_ms, notice_source::agent, now);
+    }
     backend.load = load;
     backend.load_received = now;
     while (!backend.unreported.empty() && backend.unreported.front() < now - report_delay)
@@ -174,9 +261,14 @@
   }
 }
 
-bool backend_table::is_present(const server& backend, time_point now)
+bool backend_table::is_leaving(const server& backend) const
+{
+  return backend.entry.draining || m_notices.is_leaving(backend.entry.id, backend.entry.started_ms);
+}
+
+bool backend_table::is_present(const server& backend, time_point now) const
 {
-  return !backend.entry.draining && (!backend.expires_at || now < *backend.expires_at);
+  return !is_leaving(backend) && (!backend.expires_at || now < *backend.expires_at);
 }
 
 const protocol::service* backend_table::find_service(const std::string& name) const
@@ -199,6 +291,13 @@
 
 bool backend_table::accepts_requests(const server& backend, const choice_request& request,
                                      time_point now) const
+{
+  return is_willing(backend, request, now) &&
+         !m_notices.paused_until(backend.entry.id, backend.entry.started_ms, now);
+}
+
+bool backend_table::is_willing(const server& backend, const choice_request& request,
+                               time_point now) const
 {
   if (backend.entry.service != request.service || !is_present(backend, now) ||
       request.excluded.contains(backend.entry.id) || now < backend.ejected_until ||
@@ -542,7 +641,7 @@
 std::size_t backend_table::ejected_servers(const std::string& service, time_point now) const
 {
   return static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(),
-                                                [&service, now](const auto& item)
+                                                [this, &service, now](const auto& item)
                                                 {
                                                   return item.second.entry.service == service &&
                                                          is_present(item.second, now) &&
--- a/Source/Core/Gateway/BackendTable.h
+++ b/Source/Core/Gateway/BackendTable.h
@@ -11,15 +11,13 @@
 #include <string>
 #include <vector>
 
+#include "Gateway/ServerNotices.h"
 #include "Peers/PeerMessages.h"
 #include "Protocol/ServingModel.h"
 
 namespace pollenyoke::gateway
 {
 
-using time_point = std::chrono::steady_clock::time_point;
-using std::chrono::milliseconds;
-
 /// What an attempt revealed about the health of the backend server.
 enum class attempt_health
 {
@@ -35,6 +33,18 @@
   failed,
 };
 
+/// Where news of a leaving server comes from.
+enum class notice_source
+{
+  store,
+  /// An answer of the server itself.
+  answer,
+  /// Another entry.
+  peer,
+  /// The agent on the server's host.
+  agent,
+};
+
 struct choice_request
 {
   std::string service;
@@ -109,6 +119,17 @@
   /// `keep_until`: set if the record may merely have expired; the server stays in use until then.
   void remove(const std::string& id, std::optional<time_point> keep_until);
   void update_load(const peers::load_message& load, time_point now);
+  /// The server wants no new requests, whatever its record says. Returns false if it was known.
+  bool add_leaving(const std::string& id, std::uint64_t started_ms, notice_source source,
+                   time_point now);
+  /// The server wants no requests for `length`. Returns false if that was known.
+  bool begin_pause(const std::string& id, std::uint64_t started_ms, milliseconds length,
+                   time_point now);
+  /// False if one of the servers of a choice has said since that it leaves or wants no requests.
+  bool wants_requests(const backend_choice& choice, time_point now) const;
+  /// Shortest time until a server that only wants no requests for a while takes them again.
+  std::optional<milliseconds> shortest_pause(const choice_request& request, time_point now) const;
+  std::optional<transport::endpoint> address_of(const std::string& id) const;
 
   std::optional<backend_choice> choose(const choice_request& request, time_point now);
   service_view view(const std::string& service, time_point now) const;
@@ -122,6 +143,7 @@
   struct server
   {
     protocol::backend_entry entry;
+    time_point record_received{};
     std::optional<time_point> expires_at;
     /// Unfinished attempts of this process.
     unsigned in_flight = 0;
@@ -142,6 +164,9 @@
 
   static std::uint64_t known_version(const server& backend, const protocol::service* service);
   const protocol::service* find_service(const std::string& name) const;
+  bool is_leaving(const server& backend) const;
+  /// Nothing but a pause that the server asked for keeps requests from it.
+  bool is_willing(const server& backend, const choice_request& request, time_point now) const;
   /// The server accepts requests now, whatever weights it has loaded.
   bool accepts_requests(const server& backend, const choice_request& request, time_point now) const;
   /// The server can run the request alone.
@@ -149,7 +174,8 @@
   /// Layers that the server can run as a stage of a pipeline; empty if none.
   protocol::layer_range usable_layers(const server& backend, const choice_request& request,
                                       time_point now) const;
-  static bool is_present(const server& backend, time_point now);
+  bool is_present(const server& backend, time_point now) const;
+  static void log_leaving(const server& backend, notice_source source, time_point now);
   struct estimate
   {
     double first_byte_ms = 0;
@@ -184,6 +210,7 @@
   std::size_t ejected_servers(const std::string& service, time_point now) const;
 
   std::map<std::string, server> m_servers;
+  server_notices m_notices;
   std::map<std::string, protocol::service> m_services;
   std::map<std::string, arrival_rate> m_arrivals;
   std::size_t m_entries = 1;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -32,11 +32,12 @@
                 .pool = async_io::idle_pool(max_idle_per_server),
                 .versions = version_policy(settings.version_limit),
                 .retry_budgets = {},
-                .crashes = {loop, std::move(link),
+                .crashes = {loop, link,
                             [this]
                             {
                               end_quarantined_requests();
                             }},
+                .tell_entries = link.tell_entries,
                 .random = std::mt19937_64(std::random_device{}()),
                 .metrics = {},
                 .log_budget =
@@ -141,9 +142,27 @@
 
 void gateway::receive(const peers::peer_message& message)
 {
+  if (const auto* leaving = std::get_if<peers::server_leaving>(&message))
+  {
+    add_leaving(*leaving);
+    return;
+  }
   m_context.crashes.receive(message);
 }
 
+void gateway::add_leaving(const peers::server_leaving& leaving)
+{
+  const auto now = std::chrono::steady_clock::now();
+  if (m_context.backends.add_leaving(leaving.server, leaving.started_ms, notice_source::peer, now))
+  {
+    m_context.metrics.add("servers_leaving_by_peer");
+    if (const auto address = m_context.backends.address_of(leaving.server))
+    {
+      m_context.pool.drop(*address);
+    }
+  }
+}
+
 std::optional<peers::quarantine_digest> gateway::quarantine_digest() const
 {
   return m_context.crashes.quarantine().make_digest(std::chrono::steady_clock::now());
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -45,7 +45,7 @@
   /// then.
   void remove_backend(const std::string& id, std::optional<time_point> may_return_until);
   void update_load(const peers::load_message& load);
-  /// Handles what another entry tells of crashes.
+  /// Handles what another entry tells of backend servers.
   void receive(const peers::peer_message& message);
   /// Content under which servers crash; empty if there is none.
   std::optional<peers::quarantine_digest> quarantine_digest() const;
@@ -58,6 +58,7 @@
 private:
   void accept(async_io::tcp_connection::pointer connection);
   void check_stopped();
+  void add_leaving(const peers::server_leaving& leaving);
   void end_quarantined_requests();
 
   gateway_context m_context;
--- a/Source/Core/Gateway/GatewayContext.h
+++ b/Source/Core/Gateway/GatewayContext.h
@@ -37,6 +37,8 @@
   version_policy versions;
   std::map<std::string, service_retry_budget> retry_budgets;
   crash_detector crashes;
+  /// Sends a message to all other entries.
+  std::function<void(const peers::peer_message&)> tell_entries;
   std::mt19937_64 random;
   metrics_registry metrics;
   token_bucket log_budget;
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -232,7 +232,16 @@
       input.first_byte_ms = choice->first_byte_ms;
       input.wait_ms = choice->wait_ms;
     }
+    else
+    {
+      input.pause_left = m_context.backends.shortest_pause(make_choice_request(), now);
+    }
     const admission_decision decision = decide_admission(input);
+    if (decision.hold_for)
+    {
+      m_retry_timer.start(*decision.hold_for, [self = shared_from_this()] { self->send_next(); });
+      return;
+    }
     if (!decision.admitted)
     {
       if (m_may_have_run > 0)
@@ -272,11 +281,17 @@
       .is_head = m_request.head.method == "HEAD",
       .may_reuse =
           m_request.route->repeat == protocol::repeat_rule::idempotent && m_attempt_count == 1,
-      .connect_timeout = std::min(connect_timeout, std::max(milliseconds(1), time_left()))};
+      .connect_timeout = std::min(connect_timeout, std::max(milliseconds(1), time_left())),
+      .may_send = [this, choice]
+      {
+        return m_context.backends.wants_requests(choice, std::chrono::steady_clock::now());
+      }};
   const auto self = shared_from_this();
   m_attempt = std::make_shared<backend_attempt>(
       m_context.loop, m_context.pool, std::move(request),
       backend_attempt::handlers{
+          .on_notice = [self](const protocol::server_notice& notice)
+          { self->handle_notice(notice); },
           .on_head = [self](const async_io::message_head& head) { self->handle_head(head); },
           .on_body = [self](const std::string& data) { self->handle_body(data); },
           .on_end =
@@ -359,6 +374,28 @@
   return out.append("\r\n").append(m_request.body);
 }
 
+void request_exchange::handle_notice(const protocol::server_notice& notice)
+{
+  const auto now = std::chrono::steady_clock::now();
+  if (!notice.unreadable_pause.empty() && m_context.log_budget.try_take(1, now))
+  {
+    log_warning(log_category::requests, "pause of a backend server cannot be read",
+                {{"server", m_server.id}, {"value", notice.unreadable_pause}});
+  }
+  if (notice.pause &&
+      m_context.backends.begin_pause(m_server.id, m_server.started_ms, *notice.pause, now))
+  {
+    m_context.metrics.add("server_pauses");
+  }
+  if (notice.leaving &&
+      m_context.backends.add_leaving(m_server.id, m_server.started_ms, notice_source::answer, now))
+  {
+    m_context.pool.drop(m_server.address);
+    m_context.metrics.add("servers_leaving_by_answer");
+    m_context.tell_entries(peers::server_leaving{m_server.id, m_server.started_ms});
+  }
+}
+
 void request_exchange::handle_head(const async_io::message_head& head)
 {
   m_head = head;
@@ -505,7 +542,8 @@
     end = attempt_end::unknown;
   }
   attempt_health health = attempt_health::failed;
-  if (end == attempt_end::not_executed || result.stale_connection || m_migrating)
+  const bool withheld = end == attempt_end::not_sent && !result.unreachable;
+  if (end == attempt_end::not_executed || result.stale_connection || m_migrating || withheld)
   {
     health = attempt_health::neutral;
   }
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -77,6 +77,7 @@
   void send_to(const backend_choice& choice);
   void notify_agents() const;
   std::string serialize_request(const backend_choice& choice) const;
+  void handle_notice(const protocol::server_notice& notice);
   void handle_head(const async_io::message_head& head);
   void handle_body(const std::string& data);
   void handle_attempt_end(const attempt_result& result);
--- /dev/null
+++ b/Source/Core/Gateway/ServerNotices.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace pollenyoke::gateway
+{
+
+using time_point = std::chrono::steady_clock::time_point;
+using std::chrono::milliseconds;
+
+/// Longest time for which a server can refuse requests in advance; a longer one is cut to it.
+constexpr milliseconds max_server_pause{300'000};
+
+/// What servers have said about the requests that they want: none any more, or none for a while. A
+/// notice concerns one start of a server and holds whatever other sources say of it. The caller
+/// passes the time. Not thread-safe.
+class server_notices
+{
+public:
+  /// `started_ms`: start of the server, Unix time in ms; 0 if unknown. Returns false if it was
+  /// known that the server leaves.
+  bool add_leaving(const std::string& id, std::uint64_t started_ms);
+  /// The server wants no requests for `length`. Returns false if a pause that ends no sooner has
+  /// begun already. `random_fraction`: number in [0, 1) that tells the entries apart.
+  bool begin_pause(const std::string& id, std::uint64_t started_ms, milliseconds length,
+                   double random_fraction, time_point now);
+
+  bool is_leaving(const std::string& id, std::uint64_t started_ms) const;
+  /// End of the pause of a server; empty if it takes requests.
+  std::optional<time_point> paused_until(const std::string& id, std::uint64_t started_ms,
+                                         time_point now) const;
+
+private:
+  struct notice
+  {
+    std::uint64_t started_ms = 0;
+    bool leaving = false;
+    time_point paused_until{};
+  };
+
+  const notice* find(const std::string& id, std::uint64_t started_ms) const;
+  /// Null if the server is known to have started again since.
+  notice* find_or_add(const std::string& id, std::uint64_t started_ms);
+
+  std::map<std::string, notice> m_notices;
+  /// Ids in the order of their first notice; the oldest are forgotten first.
+  std::deque<std::string> m_order;
+};
+
+} // namespace pollenyoke::gateway
--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -219,6 +219,7 @@
                        .part_from = part.from,
                        .part_to = part.to,
                        .loading = loading,
+                       .leaving = report.leaving,
                        .load_in_ms = static_cast<std::uint32_t>(
                            load_in.value_or(std::chrono::milliseconds(0)).count()),
                        .pace = static_cast<float>(report.pace),
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -107,7 +107,7 @@
             .serve_weights = [this](const async_io::message_head& head,
                                     const async_io::http_listener::responder& respond)
             { m_relay.serve(head, respond); },
-            .on_crash_message = [this](const peers::peer_message& message)
+            .on_entry_message = [this](const peers::peer_message& message)
             { m_gateway.receive(message); },
             .quarantine_digest =
                 [this]
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -263,9 +263,9 @@
     m_handlers.on_announcement(from.ip, *news);
     return;
   }
-  if (m_handlers.on_crash_message)
+  if (m_handlers.on_entry_message)
   {
-    m_handlers.on_crash_message(*message);
+    m_handlers.on_entry_message(*message);
   }
 }
 
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -37,8 +37,8 @@
   /// Answers `GET /piece` and `GET /manifest`; empty where no pieces are held.
   std::function<void(const async_io::message_head&, const async_io::http_listener::responder&)>
       serve_weights;
-  /// What other entries tell of crashes; empty at agents.
-  std::function<void(const peers::peer_message&)> on_crash_message = nullptr;
+  /// What other entries tell of backend servers; empty at agents.
+  std::function<void(const peers::peer_message&)> on_entry_message = nullptr;
   std::function<std::optional<peers::quarantine_digest>()> quarantine_digest = nullptr;
 };
 
--- a/Source/Core/Peers/PeerMessages.h
+++ b/Source/Core/Peers/PeerMessages.h
@@ -94,6 +94,8 @@
   std::uint32_t part_to = 0;
   /// The engine is loading weights or about to; it accepts no new requests.
   bool loading = false;
+  /// The engine has said that it leaves.
+  bool leaving = false;
   /// Time until the engine's planned load, in ms; 0 if none is planned.
   std::uint32_t load_in_ms = 0;
   float pace = 1;
@@ -105,7 +107,8 @@
   void serialize(Archive& archive)
   {
     archive(engine, waiting, running, unread_tokens, memory_used, memory_total, weight_version,
-            part_version, part_from, part_to, loading, load_in_ms, pace, started_ms, pass_on);
+            part_version, part_from, part_to, loading, leaving, load_in_ms, pace, started_ms,
+            pass_on);
   }
 };
 
@@ -199,8 +202,23 @@
   }
 };
 
-using peer_message = std::variant<gossip_message, load_message, send_notice, piece_announcement,
-                                  crash_report, content_clearance, quarantine_digest>;
+/// Tells other entries that a server has said, in an answer, that it leaves.
+struct server_leaving
+{
+  std::string server;
+  /// Start of the server, Unix time in ms; 0 if unknown.
+  std::uint64_t started_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(server, started_ms);
+  }
+};
+
+using peer_message =
+    std::variant<gossip_message, load_message, send_notice, piece_announcement, crash_report,
+                 content_clearance, quarantine_digest, server_leaving>;
 
 std::string encode_message(const peer_message& message);
 result<peer_message> decode_message(std::string_view datagram);
--- a/Source/Core/Protocol/ServingModel.h
+++ b/Source/Core/Protocol/ServingModel.h
@@ -155,6 +155,17 @@
   std::optional<layer_range> layers;
 };
 
+/// What a backend server says, in an answer, about the requests that it wants.
+struct server_notice
+{
+  /// It leaves, and wants no new requests.
+  bool leaving = false;
+  /// It wants no requests for so long.
+  std::optional<std::chrono::milliseconds> pause;
+  /// Text that should state a pause and does not; empty if there is none.
+  std::string unreadable_pause;
+};
+
 /// Load and weights of an engine by its own report.
 struct engine_report
 {
@@ -172,6 +183,8 @@
   std::uint64_t weight_version = 0;
   /// Layers of that version; empty if the engine does not state them and holds all.
   std::optional<layer_range> layers;
+  /// The engine has said that it leaves.
+  bool leaving = false;
   /// Above 1 while the engine is slow.
   double pace = 1;
 };
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -135,6 +135,7 @@
     return;
   }
   m_failed_polls = 0;
+  report->leaving = platform::decode_notice(answer->head).leaving;
   const bool restarted = m_report && m_report->started_ms != report->started_ms;
   if (restarted)
   {
