Gateway: a server whose record may have expired is used only if most records have

An outage expires the records of most servers; while at least half of the usable servers have a record, the others get no requests.

Test: Gateway.Decisions: server_with_expired_record_is_used_only_if_most_records_have_expired failed before (line 321).

--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -453,6 +453,21 @@
   return candidates[pick(m_random)];
 }
 
+/// An outage of the store expires the records of most servers; a few that are gone have probably
+/// left.
+void backend_table::drop_expired_candidates(std::vector<candidate>& candidates)
+{
+  const auto has_expired = [](const candidate& item)
+  {
+    return item.backend->expires_at.has_value();
+  };
+  const auto expired = std::count_if(candidates.begin(), candidates.end(), has_expired);
+  if (2 * expired <= static_cast<std::ptrdiff_t>(candidates.size()))
+  {
+    std::erase_if(candidates, has_expired);
+  }
+}
+
 /// A pipeline takes up to five times as long per token, as each token waits for a pass of every
 /// engine. Partial engines are used only while they outnumber the complete ones by more than two to
 /// one.
@@ -469,6 +484,7 @@
 std::optional<backend_choice> backend_table::choose(const choice_request& request, time_point now)
 {
   auto candidates = find_candidates(request, now);
+  drop_expired_candidates(candidates);
   drop_unneeded_partial_candidates(candidates);
   auto followers = extract_followers(candidates);
   if (candidates.empty())
--- a/Source/Core/Gateway/BackendTable.h
+++ b/Source/Core/Gateway/BackendTable.h
@@ -195,6 +195,7 @@
     protocol::layer_range part;
   };
   std::vector<candidate> find_candidates(const choice_request& request, time_point now) const;
+  static void drop_expired_candidates(std::vector<candidate>& candidates);
   static void drop_unneeded_partial_candidates(std::vector<candidate>& candidates);
   /// The second engine holds the layers that follow those of the first one.
   static bool can_follow(const candidate& first, const candidate& second);
--- a/Source/UnitTests/Gateway/DecisionsTest.cpp
+++ b/Source/UnitTests/Gateway/DecisionsTest.cpp
@@ -1,3 +1,4 @@
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,7 @@
   CPPUNIT_TEST(version_age_survives_a_restart);
   CPPUNIT_TEST(draining_and_removed_servers_are_not_chosen);
   CPPUNIT_TEST(server_with_expired_record_is_kept_for_a_while);
+  CPPUNIT_TEST(server_with_expired_record_is_used_only_if_most_records_have_expired);
   CPPUNIT_TEST(failing_servers_are_ejected_up_to_a_limit);
   CPPUNIT_TEST(misdirected_server_is_avoided_for_a_while);
   CPPUNIT_TEST(engine_without_the_version_is_not_chosen);
@@ -298,6 +300,32 @@
     CPPUNIT_ASSERT(table.choose({.service = "desk"}, t0 + milliseconds(9000)));
   }
 
+  /// Guards against requests to a server that has left during a gap in the news: an outage of the
+  /// store expires the records of most servers, not of a single one.
+  void server_with_expired_record_is_used_only_if_most_records_have_expired()
+  {
+    backend_table table(1);
+    for (const std::string id : {"1", "2", "3", "4"})
+    {
+      table.put(make_entry(id, "desk"), t0);
+    }
+    const auto chosen = [&table]
+    {
+      std::set<std::string> ids;
+      for (int i = 0; i < 100; ++i)
+      {
+        ids.insert(table.choose({.service = "desk"}, t0).value().id);
+      }
+      return ids;
+    };
+    table.remove("1", t0 + milliseconds(2000));
+    CPPUNIT_ASSERT(chosen() == (std::set<std::string>{"2", "3", "4"}));
+    table.remove("2", t0 + milliseconds(2000));
+    CPPUNIT_ASSERT(chosen() == (std::set<std::string>{"3", "4"}));
+    table.remove("3", t0 + milliseconds(2000));
+    CPPUNIT_ASSERT(chosen() == (std::set<std::string>{"1", "2", "3", "4"}));
+  }
+
   void failing_servers_are_ejected_up_to_a_limit()
   {
     backend_table table(1);
