Gateway: streams wait for a server that is silent for up to 1.5 s

It is a pure decision beside decide_retry().

Test: Gateway.Decisions: stream_stays_at_a_server_that_is_silent_for_a_moment (the limit was 1400 ms before).

--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -19,12 +19,6 @@
 
 // Connecting to a live host takes a few ms; a host without power never responds.
 constexpr milliseconds connect_timeout{250};
-// Silence of an engine after which a resumable stream moves to another one. Admitted requests have
-// their first event within the objective of about 0.5 s; callers give up after 3 s.
-constexpr milliseconds stream_silence_timeout{1400};
-// Silence, in multiples of the route's objective, after which an idempotent request without
-// streaming is sent to another server.
-constexpr int silence_timeout_objectives = 2;
 // A pipeline needs 0.2 s per event instead of 0.04 s. Most responses end within this time; a longer
 // one would reach the route's time limit.
 constexpr milliseconds pipeline_time_limit{1200};
@@ -453,10 +447,8 @@
   {
     return;
   }
-  const milliseconds limit = m_request.route->streaming
-                                 ? stream_silence_timeout
-                                 : m_request.route->objective * silence_timeout_objectives;
-  m_silence_timer.start(limit, [self = shared_from_this()] { self->handle_silence(); });
+  m_silence_timer.start(silence_limit(*m_request.route),
+                        [self = shared_from_this()] { self->handle_silence(); });
 }
 
 /// An attempt whose server may still respond is abandoned only where the request can really be sent
--- a/Source/Core/Gateway/RetryPolicy.h
+++ b/Source/Core/Gateway/RetryPolicy.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+
 #include "Protocol/ServingModel.h"
 
 namespace pollenyoke::gateway
@@ -47,6 +49,9 @@
   abort,
 };
 
+/// Silence of a server after which a request may move to another one.
+std::chrono::milliseconds silence_limit(const protocol::route& route);
+
 /// decide_retry() returns the action after a failed attempt, final_action() the one if no further
 /// attempt is possible.
 retry_action decide_retry(const retry_state& state);
--- a/Source/UnitTests/Gateway/DecisionsTest.cpp
+++ b/Source/UnitTests/Gateway/DecisionsTest.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(traffic_split_follows_the_weights);
   CPPUNIT_TEST(resumed_streams_come_first_and_late_requests_last);
   CPPUNIT_TEST(requests_are_retried_only_if_safe);
+  CPPUNIT_TEST(stream_stays_at_a_server_that_is_silent_for_a_moment);
   CPPUNIT_TEST(budget_limits_the_retries_of_all_entries);
   CPPUNIT_TEST(events_are_forwarded_complete_and_once);
   CPPUNIT_TEST(admission_rejects_requests_that_would_be_late);
@@ -275,6 +276,17 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, restarted.minimum("m", t0 + milliseconds(7500)));
   }
 
+  /// Guards against streams that are begun twice because a sound server was silent for 1.5 s.
+  void stream_stays_at_a_server_that_is_silent_for_a_moment()
+  {
+    const protocol::route stream{.streaming = true, .objective = milliseconds(400)};
+    CPPUNIT_ASSERT(silence_limit(stream) > milliseconds(1500));
+    // Callers give up after a gap of two seconds at the earliest.
+    CPPUNIT_ASSERT(silence_limit(stream) < milliseconds(2000));
+    const protocol::route plain{.streaming = false, .objective = milliseconds(100)};
+    CPPUNIT_ASSERT(silence_limit(plain) == milliseconds(200));
+  }
+
   void draining_and_removed_servers_are_not_chosen()
   {
     backend_table table(1);
