Emulator: servers say that they leave, ask for pauses and fall silent; checks for both rules

Until now the emulated servers sent neither Server-Leaving nor Retry-After and were never silent for a while.

- A server that leaves says so in all its answers, also while the store is away: it stays then, and only its answers tell.
- server_wants_pause: 503 with what is left of the pause. server_silent: up to 1.5 s without a byte read or sent, no disturbance.
The self-check alters two histories more; the other tests of checks cover the excuses.
- The soak draws the three kinds for all seeds, 2.5 s apart on average, from a random stream of their own, so that the other faults of a recorded seed are the same as before.

--- a/Source/Emulator/BackendServer.cpp
+++ b/Source/Emulator/BackendServer.cpp
@@ -5,6 +5,7 @@
 
 #include "Common/Log.h"
 #include "Emulator/AnswerContent.h"
+#include "Emulator/Deployment.h"
 #include "platform/Names.h"
 
 namespace pollenyoke::emulator
@@ -17,7 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr milliseconds heartbeat{1200};
 // A record is removed after this many intervals without a heartbeat.
 constexpr int missed_heartbeats = 3;
 // A leaving server serves on a little longer than it has to.
@@ -46,6 +46,14 @@
   return value == nullptr ? std::string{} : *value;
 }
 
+void append_leaving(std::string& fields, bool leaving)
+{
+  if (leaving)
+  {
+    async_io::append_field(fields, names::server_leaving, "1");
+  }
+}
+
 /// The content of a caller's request follows from its id, so that a change shows.
 std::string changed_parts(const http_request& request)
 {
@@ -67,6 +75,7 @@
 std::string answer_fields(const server_job& job, std::string_view more)
 {
   std::string out(more);
+  append_leaving(out, *job.leaving);
   async_io::append_field(out, names::request_id, job.id);
   async_io::append_field(out, names::signature, make_signature(job.id, job.run));
   return out;
@@ -75,6 +84,7 @@
 void refuse(const server_job& job, unsigned status, std::string_view more)
 {
   std::string fields(more);
+  append_leaving(fields, *job.leaving);
   async_io::append_field(fields, names::request_id, job.id);
   async_io::append_field(fields, names::not_executed, "1");
   job.reply->send(status, fields, {});
@@ -122,9 +132,11 @@
   m_id = keeps_id ? m_id : make_id(m_random);
   m_started_ms = unix_ms();
   m_up = true;
-  m_draining = false;
-  m_replacing = false;
+  m_leaving = std::make_shared<bool>(false);
+  m_leaving_known = false;
+  m_paused_until = {};
   m_server.set_fault(connection_fault::none);
+  m_server.set_holding(false);
   m_later.clear();
   write_record();
 }
@@ -136,17 +148,16 @@
                        .address = transport::to_string(m_identity.address),
                        .domain = m_identity.domain,
                        .slots = m_identity.slots,
-                       .draining = m_draining,
+                       .draining = *m_leaving,
                        .started_ms = m_started_ms};
   fill_record(record);
   const auto written =
       m_environment.store.put(std::string(names::backend_topic), m_id, encode_server(record));
-  if (written && m_draining && !m_replacing)
+  if (written && *m_leaving && !m_leaving_known)
   {
-    m_replacing = true;
-    m_environment.record.seen().leaving.push_back({m_id, m_environment.record.now()});
+    leave();
   }
-  m_later.after(heartbeat,
+  m_later.after(backend_heartbeat,
                 [this]
                 {
                   if (m_up)
@@ -171,30 +182,32 @@
   log_info(log_category::process, "backend server crashes",
            {{"id", m_id}, {"downtime_ms", downtime.count()}});
   // A server that has said that it leaves does not come back under its id.
-  const bool returns_as_itself = keeps_id && !m_draining;
+  const bool returns_as_itself = keeps_id && !*m_leaving;
   m_up = false;
   lose_power();
   m_server.set_fault(meanwhile);
   m_later.clear();
-  m_removals.after(heartbeat * missed_heartbeats, [this, id = m_id] { remove_record(id); });
+  m_removals.after(backend_heartbeat * missed_heartbeats, [this, id = m_id] { remove_record(id); });
   m_later.after(downtime, [this, returns_as_itself] { begin_instance(returns_as_itself); });
 }
 
 void backend_server::replace(milliseconds drain_timeout)
 {
-  if (!m_up || m_draining)
+  if (!m_up || *m_leaving)
   {
     return;
   }
-  m_draining = true;
+  *m_leaving = true;
+  m_drain_timeout = drain_timeout;
+  // While the store is away the server stays, and only its answers say that it leaves.
   write_record();
-  if (!m_replacing)
-  {
-    // The store is away: the server stays.
-    m_draining = false;
-    return;
-  }
-  m_later.after(drain_timeout + after_drain,
+}
+
+void backend_server::leave()
+{
+  m_leaving_known = true;
+  m_environment.record.seen().leaving.push_back({m_id, m_environment.record.now()});
+  m_later.after(m_drain_timeout + after_drain,
                 [this]
                 {
                   m_up = false;
@@ -202,10 +215,29 @@
                   m_server.set_fault(connection_fault::refused);
                   remove_record(m_id);
                   m_later.clear();
-                  m_later.after(heartbeat, [this] { begin_instance(false); });
+                  m_later.after(backend_heartbeat, [this] { begin_instance(false); });
                 });
 }
 
+void backend_server::want_no_requests(milliseconds time)
+{
+  m_paused_until = steady_clock::now() + time;
+}
+
+void backend_server::fall_silent(milliseconds time)
+{
+  m_server.set_holding(true);
+  m_later.after(time, [this] { m_server.set_holding(false); });
+}
+
+std::string backend_server::notice_fields() const
+{
+  std::string fields;
+  append_leaving(fields, *m_leaving);
+  async_io::append_field(fields, instance_field, m_id);
+  return fields;
+}
+
 void backend_server::remove_record(const std::string& id)
 {
   if (m_up && m_id == id)
@@ -214,7 +246,7 @@
   }
   if (!m_environment.store.put(std::string(names::backend_topic), id, std::nullopt))
   {
-    m_removals.after(heartbeat, [this, id] { remove_record(id); });
+    m_removals.after(backend_heartbeat, [this, id] { remove_record(id); });
   }
 }
 
@@ -225,6 +257,7 @@
   job->id = field_or(request, names::request_id);
   job->run = ++m_next_run;
   job->reply = reply;
+  job->leaving = m_leaving;
   std::uint64_t left_ms = static_cast<std::uint64_t>(usual_deadline.count());
   (void)async_io::parse_number(field_or(request, names::time_left_ms), left_ms);
   job->due = steady_clock::now() + milliseconds(left_ms);
@@ -246,22 +279,28 @@
   }
   if (request.head.find(names::request_id) == nullptr)
   {
-    std::string fields;
-    async_io::append_field(fields, instance_field, m_id);
-    reply->send(m_draining ? 503 : 200, fields, {});
+    reply->send(*m_leaving ? 503 : 200, notice_fields(), {});
     return;
   }
   const std::string expected = field_or(request, names::expected_server);
   if (!expected.empty() && expected != m_id)
   {
-    std::string fields;
-    async_io::append_field(fields, instance_field, m_id);
+    std::string fields = notice_fields();
     async_io::append_field(fields, names::request_id, field_or(request, names::request_id));
     async_io::append_field(fields, names::not_executed, "1");
     reply->send(421, fields, {});
     return;
   }
   const auto job = make_job(std::move(request), reply);
+  const std::chrono::duration<double> pause = m_paused_until - steady_clock::now();
+  if (pause.count() > 0)
+  {
+    m_environment.record.arrival_at(job->arrival).pause = pause.count();
+    std::string fields;
+    async_io::append_field(fields, names::retry_after, std::to_string(pause.count()));
+    refuse(*job, 503, fields);
+    return;
+  }
   const bool faulty = m_fault != server_fault::none &&
                       std::uniform_real_distribution<double>(0, 1)(m_random) < m_fault_share;
   if (!faulty || !answer_faulty(job))
--- a/Source/Emulator/BackendServer.h
+++ b/Source/Emulator/BackendServer.h
@@ -46,6 +46,8 @@
   std::uint64_t run = 0;
   std::size_t arrival = 0;
   std::chrono::steady_clock::time_point due;
+  /// Whether the server says in its answers that it leaves.
+  std::shared_ptr<const bool> leaving = std::make_shared<const bool>(false);
 };
 
 /// What the servers of a run share.
@@ -96,8 +98,13 @@
   void set_fault(server_fault fault, double share);
   /// Loses everything and comes back after `downtime`, as a new instance or under its old id.
   void crash(std::chrono::milliseconds downtime, connection_fault meanwhile, bool keeps_id);
-  /// Says that it leaves, serves on for a while, and comes back as a new instance.
+  /// Says that it leaves, serves on for a while after the store knows it, and comes back as a new
+  /// instance.
   void replace(std::chrono::milliseconds drain_timeout);
+  /// Turns requests away for `time`, and says how much of it is left.
+  void want_no_requests(std::chrono::milliseconds time);
+  /// A sound server that reads and sends nothing for `time` and then goes on.
+  void fall_silent(std::chrono::milliseconds time);
   const transport::endpoint& address() const
   {
     return m_identity.address;
@@ -123,12 +130,15 @@
 private:
   void begin_instance(bool keeps_id);
   void write_record();
+  /// The store has accepted the record that says so.
+  void leave();
   /// Removes the record of an instance that is gone, as soon as the store can be reached.
   void remove_record(const std::string& id);
   void handle(http_request request, const std::shared_ptr<http_reply>& reply);
   bool answer_faulty(const std::shared_ptr<server_job>& job);
   std::shared_ptr<server_job> make_job(http_request request,
                                        const std::shared_ptr<http_reply>& reply);
+  std::string notice_fields() const;
 
   server_environment m_environment;
   server_identity m_identity;
@@ -142,8 +152,11 @@
   std::uint64_t m_started_ms = 0;
   std::uint64_t m_next_run = 0;
   bool m_up = false;
-  bool m_draining = false;
-  bool m_replacing = false;
+  /// Shared with the jobs of the instance.
+  std::shared_ptr<bool> m_leaving = std::make_shared<bool>(false);
+  bool m_leaving_known = false;
+  std::chrono::milliseconds m_drain_timeout{0};
+  std::chrono::steady_clock::time_point m_paused_until{};
   server_fault m_fault = server_fault::none;
   double m_fault_share = 0;
   std::string m_earlier_request;
--- a/Source/Emulator/CallerAttempt.cpp
+++ b/Source/Emulator/CallerAttempt.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "Emulator/Deployment.h"
+#include "platform/Decode.h"
 #include "platform/Names.h"
 
 namespace pollenyoke::emulator
@@ -192,6 +193,7 @@
   m_head_checked = true;
   const async_io::message_head& head = m_parser.head();
   entry().status = head.status;
+  entry().server_leaves = platform::decode_notice(head).leaving;
   if (head.status == 200 && m_request.route.streaming)
   {
     m_stream.emplace(m_id);
--- a/Source/Emulator/Checks.cpp
+++ b/Source/Emulator/Checks.cpp
@@ -14,6 +14,8 @@
 
 // Requests that cross the caller's close on their way.
 constexpr std::size_t tolerated_late_arrivals = 3;
+// Requests that reach a server from one machine during a pause that it asked for.
+constexpr std::ptrdiff_t tolerated_pause_arrivals = 2;
 // Share of the requests of callers who left at which a server may work on for longer.
 constexpr double tolerated_late_work = 0.25;
 // The system ends a request this long before its limit, so that the answer arrives in time.
@@ -292,6 +294,105 @@
   return out;
 }
 
+/// When each machine passed on an answer of each server that says that the server leaves.
+using leaving_answers = std::map<std::pair<std::string, std::string>, moment>;
+
+leaving_answers index_leaving_answers(const history& seen)
+{
+  std::unordered_map<std::string, std::string> last_server;
+  for (const arrival& came : seen.arrivals)
+  {
+    last_server[came.request] = came.server;
+  }
+  leaving_answers out;
+  for (const attempt& sent : seen.attempts)
+  {
+    const auto server = last_server.find(sent.id);
+    if (sent.server_leaves && server != last_server.end())
+    {
+      const auto [known, is_new] = out.try_emplace({sent.machine, server->second}, sent.ended);
+      known->second = is_new ? sent.ended : std::min(known->second, sent.ended);
+    }
+  }
+  return out;
+}
+
+/// True if the machine's process was started or paused in this time.
+bool was_interrupted(const history& seen, const std::string& machine, moment from, moment to)
+{
+  return std::any_of(seen.starts.begin(), seen.starts.end(),
+                     [&](const process_start& start)
+                     { return start.machine == machine && from <= start.at && start.at <= to; }) ||
+         std::any_of(seen.disturbances.begin(), seen.disturbances.end(),
+                     [&](const disturbance& fault) {
+                       return fault.of_process && fault.scope == machine && fault.from <= to &&
+                              from <= fault.to;
+                     });
+}
+
+std::vector<violation> find_requests_after_leaving_answers(const history& seen,
+                                                           const rule_bounds& bounds)
+{
+  std::vector<violation> out;
+  const auto attempts = index_attempts(seen);
+  const auto told = index_leaving_answers(seen);
+  for (const arrival& came : seen.arrivals)
+  {
+    const auto found = attempts.find(came.request);
+    if (found == attempts.end())
+    {
+      continue;
+    }
+    const attempt& sent = *found->second;
+    const auto answer = told.find({sent.machine, came.server});
+    if (answer != told.end() && sent.sent > answer->second + bounds.drain_timeout &&
+        !was_interrupted(seen, sent.machine, answer->second, came.at))
+    {
+      out.push_back({"DRAIN", describe(sent) + " reached " + came.server + " " +
+                                  std::to_string(came.at - answer->second) +
+                                  " s after the machine had passed on that it leaves"});
+    }
+  }
+  return out;
+}
+
+std::vector<violation> find_requests_in_pauses(const history& seen, const rule_bounds& bounds)
+{
+  std::vector<violation> out;
+  const auto attempts = index_attempts(seen);
+  const auto machine_of = [&attempts](const arrival& came)
+  {
+    const auto found = attempts.find(came.request);
+    return found == attempts.end() ? std::string{} : found->second->machine;
+  };
+  std::map<std::pair<std::string, std::string>, std::vector<const arrival*>> by_way;
+  for (const arrival& came : seen.arrivals)
+  {
+    by_way[{machine_of(came), came.server}].push_back(&came);
+  }
+  for (const auto& [way, arrivals] : by_way)
+  {
+    for (const arrival* refused : arrivals)
+    {
+      const moment from = refused->at + bounds.pause_slack;
+      const moment to = refused->at + refused->pause;
+      const auto count = std::count_if(arrivals.begin(), arrivals.end(),
+                                       [from, to](const arrival* came)
+                                       { return from < came->at && came->at < to; });
+      if (refused->pause > 0 && count > tolerated_pause_arrivals &&
+          !is_disturbed(seen, way.first, refused->at, to) &&
+          !was_interrupted(seen, way.first, refused->at, to))
+      {
+        out.push_back({"BUDGET", std::to_string(count) + " requests reached " + way.second +
+                                     " from " + way.first + " in its pause from " +
+                                     std::to_string(refused->at) + " s on"});
+        break;
+      }
+    }
+  }
+  return out;
+}
+
 std::vector<violation> find_excess_repeats(const history& seen, const rule_bounds& bounds)
 {
   struct counted
@@ -516,7 +617,7 @@
   return out;
 }
 
-constexpr std::array<rule_check, 13> checks = {
+constexpr std::array<rule_check, 15> checks = {
     {{"repeated runs", false, find_repeated_runs},
      {"wrong answers", false, find_wrong_answers},
      {"false refusals", false, find_false_refusals},
@@ -524,6 +625,8 @@
      {"late configurations", true, find_late_configs},
      {"older configurations", true, find_older_configs},
      {"requests to leaving servers", true, find_requests_to_leaving},
+     {"requests after leaving answers", true, find_requests_after_leaving_answers},
+     {"requests in pauses", true, find_requests_in_pauses},
      {"excess repeats", true, find_excess_repeats},
      {"old or spoilt weights", true, find_old_weights},
      {"requests cut off in a stop", true, find_cut_requests},
--- a/Source/Emulator/Checks.h
+++ b/Source/Emulator/Checks.h
@@ -25,6 +25,8 @@
   double budget_window = 10;
   double retry_budget_ratio = 0.2;
   double retry_budget_extra = 20;
+  /// A request may reach a server this long after it has asked for a pause.
+  double pause_slack = 0.5;
 };
 
 /// A promise that was broken, with what was seen.
--- a/Source/Emulator/Deployment.cpp
+++ b/Source/Emulator/Deployment.cpp
@@ -193,6 +193,7 @@
            {"zone", of.domain},
            {"region", what.domains.at(of.domain)},
            {"zones", what.domains},
+           {"heartbeat_ms", backend_heartbeat.count()},
            {"seed_nodes", seeds},
            {"internal_port_range", {peer_port, peer_port + 15}},
            {"platform", {{"address", transport::to_string(of.store)}}},
--- a/Source/Emulator/Deployment.h
+++ b/Source/Emulator/Deployment.h
@@ -17,6 +17,9 @@
 namespace pollenyoke::emulator
 {
 
+/// Interval at which servers write their records.
+constexpr std::chrono::milliseconds backend_heartbeat{1200};
+
 /// What is emulated. The file is YAML; docs/OPERATIONS.md describes its keys.
 struct deployment
 {
--- a/Source/Emulator/FaultInjector.cpp
+++ b/Source/Emulator/FaultInjector.cpp
@@ -28,6 +28,7 @@
 constexpr double series_gap_s = 0.2;
 constexpr unsigned long_config_routes = 1400;
 constexpr double burst_load = 2.5;
+constexpr double max_sound_silence_s = 1.5;
 constexpr double slowness = 5;
 constexpr milliseconds link_delay{150};
 constexpr std::string_view store_scope = "store";
@@ -81,6 +82,8 @@
     {fault_kind::new_weights, &fault_injector::name_weights},
     {fault_kind::burst, &fault_injector::raise_load},
     {fault_kind::impatient_callers, &fault_injector::make_callers_impatient},
+    {fault_kind::server_wants_pause, &fault_injector::begin_server_pause},
+    {fault_kind::server_silent, &fault_injector::silence_server},
 };
 
 fault_injector::fault_injector(async_io::event_loop& loop, platform_run& run,
@@ -288,12 +291,28 @@
 void fault_injector::replace_server(const planned_fault& fault)
 {
   constexpr milliseconds drain_timeout{2000};
+  choose_server(fault).replace(drain_timeout);
+}
+
+backend_server& fault_injector::choose_server(const planned_fault& fault) const
+{
   if (fault.choice % 2 == 0)
   {
-    m_run.engines()[fault.choice / 2 % m_run.engines().size()]->replace(drain_timeout);
-    return;
+    return *m_run.engines()[fault.choice / 2 % m_run.engines().size()];
   }
-  m_run.desks()[fault.choice / 2 % m_run.desks().size()]->replace(drain_timeout);
+  return *m_run.desks()[fault.choice / 2 % m_run.desks().size()];
+}
+
+void fault_injector::begin_server_pause(const planned_fault& fault)
+{
+  choose_server(fault).want_no_requests(duration_cast<milliseconds>(to_time(fault.duration)));
+}
+
+/// No disturbance: sound servers do so.
+void fault_injector::silence_server(const planned_fault& fault)
+{
+  const double length = std::min(fault.duration, max_sound_silence_s);
+  choose_server(fault).fall_silent(duration_cast<milliseconds>(to_time(length)));
 }
 
 void fault_injector::set_link_faults(const planned_fault& fault,
--- a/Source/Emulator/FaultInjector.h
+++ b/Source/Emulator/FaultInjector.h
@@ -66,9 +66,13 @@
   void name_weights(const planned_fault& fault);
   void raise_load(const planned_fault& fault);
   void make_callers_impatient(const planned_fault& fault);
+  void begin_server_pause(const planned_fault& fault);
+  void silence_server(const planned_fault& fault);
 
   void set_link_faults(const planned_fault& fault, const stand_ins::relay_faults& faults);
   void trouble_server(backend_server& server, const planned_fault& fault);
+  /// A server of any service.
+  backend_server& choose_server(const planned_fault& fault) const;
 
   static const std::map<fault_kind, action> actions;
 
--- a/Source/Emulator/FaultPlan.cpp
+++ b/Source/Emulator/FaultPlan.cpp
@@ -1,5 +1,6 @@
 #include "Emulator/FaultPlan.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -23,6 +24,12 @@
 // the platform's rules is 12 s.
 constexpr double recovery_end_s = 24;
 constexpr double recovery_share = 0.3;
+// Sound servers ask for pauses, fall silent and leave beside all other faults. They are drawn by
+// themselves, so that the other faults of a seed stay as they were.
+constexpr double mean_notice_gap_s = 2.5;
+constexpr std::uint64_t notice_stream = 0x9e3779b97f4a7c15U;
+constexpr std::array notice_kinds{fault_kind::server_wants_pause, fault_kind::server_silent,
+                                  fault_kind::replace_server};
 
 struct named_fault
 {
@@ -32,7 +39,7 @@
   unsigned weight;
 };
 
-constexpr std::array<named_fault, 28> faults = {{
+constexpr std::array<named_fault, 30> faults = {{
     {fault_kind::kill_processes, "kill_processes", 4},
     {fault_kind::kill_all, "kill_all", 0},
     {fault_kind::stop_process, "stop_process", 4},
@@ -61,6 +68,8 @@
     {fault_kind::new_weights, "new_weights", 2},
     {fault_kind::burst, "burst", 1},
     {fault_kind::impatient_callers, "impatient_callers", 1},
+    {fault_kind::server_wants_pause, "server_wants_pause", 0},
+    {fault_kind::server_silent, "server_silent", 0},
 }};
 
 } // namespace
@@ -77,6 +86,29 @@
   return "unknown";
 }
 
+namespace
+{
+
+void add_notices(std::vector<planned_fault>& plan, std::uint64_t seed, double last)
+{
+  std::mt19937_64 random(seed ^ notice_stream);
+  std::exponential_distribution<double> gap(1 / mean_notice_gap_s);
+  std::uniform_real_distribution<double> fraction(0, 1);
+  for (double at = first_fault_s + gap(random); at < last; at += gap(random))
+  {
+    plan.push_back(
+        {.kind = notice_kinds[random() % notice_kinds.size()],
+         .at = at,
+         .duration = min_duration_s + fraction(random) * (max_duration_s - min_duration_s),
+         .share = fraction(random) * max_share,
+         .choice = random()});
+  }
+  std::stable_sort(plan.begin(), plan.end(),
+                   [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+}
+
+} // namespace
+
 std::vector<planned_fault> draw_plan(std::uint64_t seed, double duration)
 {
   std::mt19937_64 random(seed);
@@ -105,6 +137,7 @@
               ? overlap_gap_s
               : std::exponential_distribution<double>(1 / mean_gap_s)(random);
   }
+  add_notices(plan, seed, last);
   if (loses_all)
   {
     plan.push_back({.kind = fault_kind::kill_all, .at = last, .choice = random()});
--- a/Source/Emulator/FaultPlan.h
+++ b/Source/Emulator/FaultPlan.h
@@ -40,6 +40,8 @@
   new_weights,
   burst,
   impatient_callers,
+  server_wants_pause,
+  server_silent,
 };
 
 struct planned_fault
--- a/Source/Emulator/History.h
+++ b/Source/Emulator/History.h
@@ -50,6 +50,8 @@
   std::string problem;
   /// The caller closed before it had an answer.
   bool gave_up = false;
+  /// The answer says that its server leaves.
+  bool server_leaves = false;
   /// Sent to one machine to learn which configuration is in force there.
   bool is_probe = false;
 };
@@ -69,6 +71,8 @@
   /// The server ended its answer before it was complete.
   bool broken_off = false;
   std::string team;
+  /// The server turned it away and wanted no requests of the machine for so long; 0 if not.
+  moment pause = 0;
   /// What is not as the caller sent it; empty if nothing.
   std::string changed;
   /// Engines: version of the weights, and whether each layer was whole and of that version.
@@ -106,6 +110,8 @@
   std::string scope;
   moment from = 0;
   moment to = 0;
+  /// The process of a machine was stopped or paused.
+  bool of_process = false;
 };
 
 struct process_start
--- a/Source/Emulator/HttpServer.cpp
+++ b/Source/Emulator/HttpServer.cpp
@@ -40,6 +40,7 @@
   async_io::event_loop& loop;
   handler on_request;
   connection_fault fault = connection_fault::none;
+  bool holds = false;
   std::unique_ptr<async_io::tcp_listener> listener;
   std::set<std::shared_ptr<session>> sessions;
 };
@@ -65,6 +66,27 @@
     m_silent = true;
   }
 
+  void set_holding(bool holds)
+  {
+    m_holding = holds;
+    if (holds)
+    {
+      return;
+    }
+    const auto self = shared_from_this();
+    if (!m_held_output.empty())
+    {
+      write(std::move(m_held_output));
+      m_held_output.clear();
+    }
+    const std::string input = std::move(m_held_input);
+    m_held_input.clear();
+    if (!input.empty())
+    {
+      receive(input);
+    }
+  }
+
   void end()
   {
     if (m_connection->is_open())
@@ -142,6 +164,11 @@
 private:
   void write(std::string bytes)
   {
+    if (m_holding)
+    {
+      m_held_output += bytes;
+      return;
+    }
     if (!m_silent && m_connection->is_open())
     {
       m_connection->write(std::move(bytes));
@@ -154,6 +181,11 @@
     {
       return;
     }
+    if (m_holding)
+    {
+      m_held_input += data;
+      return;
+    }
     m_parser.feed(data);
     serve();
   }
@@ -202,6 +234,9 @@
   std::function<void()> m_on_gone;
   bool m_answering = false;
   bool m_silent = false;
+  bool m_holding = false;
+  std::string m_held_output;
+  std::string m_held_input;
 };
 
 http_server::http_server(async_io::event_loop& loop, handler on_request)
@@ -233,6 +268,7 @@
         {
           next->set_silent();
         }
+        next->set_holding(owner->holds);
         next->begin();
       });
   return m_state->listener->listen(address);
@@ -259,6 +295,16 @@
   }
 }
 
+void http_server::set_holding(bool holds)
+{
+  m_state->holds = holds;
+  const auto open_sessions = m_state->sessions;
+  for (const auto& open : open_sessions)
+  {
+    open->set_holding(holds);
+  }
+}
+
 void http_server::reset_connections()
 {
   const auto open_sessions = std::move(m_state->sessions);
--- a/Source/Emulator/HttpServer.h
+++ b/Source/Emulator/HttpServer.h
@@ -71,6 +71,8 @@
   result<void> listen(const transport::endpoint& address);
   std::uint16_t port() const;
   void set_fault(connection_fault fault);
+  /// While it holds, nothing is read and nothing is sent; afterwards all goes on as before.
+  void set_holding(bool holds);
   void reset_connections();
 
 private:
--- a/Source/Emulator/ProcessFleet.cpp
+++ b/Source/Emulator/ProcessFleet.cpp
@@ -119,7 +119,7 @@
     auto& all = m_record.seen().disturbances;
     of.disturbance = all.size();
     // Lasts until its end is known.
-    all.push_back({machine, m_record.now(), 1e9});
+    all.push_back({machine, m_record.now(), 1e9, true});
   }
 }
 
--- a/Source/Emulator/SelfCheck.cpp
+++ b/Source/Emulator/SelfCheck.cpp
@@ -115,6 +115,26 @@
   seen.leaving.push_back({"i-1", 1});
 }
 
+/// A machine passes an answer on, and sends the same server a request 3 s later.
+void use_server_that_said_it_leaves(history& seen)
+{
+  seen.attempts.front().server_leaves = true;
+  seen.attempts.push_back(make_attempt("after-leaving", 22.5, request_kind::idempotent));
+  seen.arrivals.push_back(make_arrival("after-leaving", 22.51));
+}
+
+void disregard_pause(history& seen)
+{
+  seen.arrivals.front().ran = false;
+  seen.arrivals.front().pause = 2;
+  for (unsigned i = 0; i < 3; ++i)
+  {
+    const std::string id = "in-pause-" + std::to_string(i);
+    seen.attempts.push_back(make_attempt(id, 20.2 + i * 0.1, request_kind::idempotent));
+    seen.arrivals.push_back(make_arrival(id, 20.21 + i * 0.1));
+  }
+}
+
 void repeat_too_often(history& seen)
 {
   for (unsigned i = 0; i < 100; ++i)
@@ -197,7 +217,7 @@
   seen.memory.push_back({"entry-a-1", 200, 100});
 }
 
-constexpr std::array<altered_history, 21> alterations = {{
+constexpr std::array<altered_history, 23> alterations = {{
     {"a request that runs once ran twice", "TWICE", "repeated runs", repeat_run},
     {"an answer belongs to another request", "MIXED", "wrong answers", mix_answer},
     {"a refused request ran", "REFUSED", "false refusals", refuse_falsely},
@@ -209,6 +229,9 @@
     {"a revoked key is served", "CONFIG", "late configurations", serve_revoked_key},
     {"a configuration came back older", "CONFIG", "older configurations", return_to_older},
     {"a leaving server got a request", "DRAIN", "requests to leaving servers", use_leaving_server},
+    {"a server that said so in an answer got a request", "DRAIN", "requests after leaving answers",
+     use_server_that_said_it_leaves},
+    {"a server's pause was disregarded", "BUDGET", "requests in pauses", disregard_pause},
     {"requests are repeated too often", "BUDGET", "excess repeats", repeat_too_often},
     {"an older version is still used", "VERSION", "old or spoilt weights", use_old_weights},
     {"weights were not whole", "WHOLE", "old or spoilt weights", load_spoilt_weights},
--- a/Source/UnitTests/Emulator/ChecksTest.cpp
+++ b/Source/UnitTests/Emulator/ChecksTest.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(faults_excuse_a_machine_for_the_stability_window);
   CPPUNIT_TEST(stop_puts_a_machine_out_of_touch);
   CPPUNIT_TEST(servers_and_deadlines_excuse_a_cut_request);
+  CPPUNIT_TEST(interruptions_excuse_requests_to_a_server_that_said_it_leaves);
+  CPPUNIT_TEST(few_requests_may_cross_the_answer_that_asks_for_a_pause);
   CPPUNIT_TEST(same_seed_draws_the_same_plan);
   CPPUNIT_TEST(plan_ends_before_the_run);
   CPPUNIT_TEST(each_fault_has_a_name);
@@ -37,7 +39,7 @@
   {
     const auto report = run_self_check();
     CPPUNIT_ASSERT(report.checks > 0);
-    CPPUNIT_ASSERT_EQUAL(std::string(R"({"checks":13,"undetected":[]})"), to_json(report));
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"checks":15,"undetected":[]})"), to_json(report));
   }
 
   void faults_excuse_a_machine_for_the_stability_window()
@@ -84,6 +86,42 @@
     CPPUNIT_ASSERT(find_violations(late, m_bounds).empty());
   }
 
+  static const altered_history& altered(std::string_view check)
+  {
+    const auto all = altered_histories();
+    return *std::find_if(all.begin(), all.end(),
+                         [check](const altered_history& one) { return one.check == check; });
+  }
+
+  /// A machine that starts again, or stands still, has not kept the news; one that only lost its
+  /// links has.
+  void interruptions_excuse_requests_to_a_server_that_said_it_leaves()
+  {
+    history seen = make_sound_history();
+    altered("requests after leaving answers").alter(seen);
+    history restarted = seen;
+    restarted.starts.push_back({"entry-a-1", 21});
+    CPPUNIT_ASSERT(find_violations(restarted, m_bounds).empty());
+    history paused = seen;
+    paused.disturbances.push_back({"entry-a-1", 20.5, 21, true});
+    CPPUNIT_ASSERT(find_violations(paused, m_bounds).empty());
+    seen.disturbances.push_back({"entry-a-1", 20.5, 21});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, find_violations(seen, m_bounds).size());
+  }
+
+  void few_requests_may_cross_the_answer_that_asks_for_a_pause()
+  {
+    history seen = make_sound_history();
+    altered("requests in pauses").alter(seen);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, find_violations(seen, m_bounds).size());
+    history cut = seen;
+    cut.disturbances.push_back({"entry-a-1", 20.5, 21});
+    CPPUNIT_ASSERT(find_violations(cut, m_bounds).empty());
+    // The first half second is not counted.
+    seen.arrivals.front().pause = 0.6;
+    CPPUNIT_ASSERT(find_violations(seen, m_bounds).empty());
+  }
+
   /// Guards against a seed that cannot be played again.
   void same_seed_draws_the_same_plan()
   {
@@ -117,7 +155,7 @@
 
   void each_fault_has_a_name()
   {
-    for (int kind = 0; kind <= static_cast<int>(fault_kind::impatient_callers); ++kind)
+    for (int kind = 0; kind <= static_cast<int>(fault_kind::server_silent); ++kind)
     {
       CPPUNIT_ASSERT(to_string(static_cast<fault_kind>(kind)) != "unknown");
     }
