--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -565,6 +565,11 @@
       continue;
     }
     server& backend = found->second;
+    if (m_notices.take_ended_pause(stage.id, backend.entry.started_ms, now))
+    {
+      log_info(log_category::requests, "backend server is used again after its pause",
+               {{"server", stage.id}});
+    }
     ++backend.in_flight;
     backend.unreported.push_back(now);
     while (backend.unreported.front() < now - load_report_lifetime)
--- a/Source/Core/Gateway/ServerNotices.cpp
+++ b/Source/Core/Gateway/ServerNotices.cpp
@@ -78,11 +78,24 @@
       std::clamp(std::chrono::duration<double, std::milli>(pause) * return_spread_share,
                  std::chrono::duration<double, std::milli>(min_return_spread),
                  std::chrono::duration<double, std::milli>(max_return_spread));
+  found->end_reported = false;
   found->paused_until =
       now + pause + std::chrono::duration_cast<milliseconds>(spread * random_fraction);
   return true;
 }
 
+bool server_notices::take_ended_pause(const std::string& id, std::uint64_t started_ms,
+                                      time_point now)
+{
+  const notice* found = find(id, started_ms);
+  if (found == nullptr || found->end_reported || now < found->paused_until)
+  {
+    return false;
+  }
+  m_notices.at(id).end_reported = true;
+  return true;
+}
+
 bool server_notices::is_leaving(const std::string& id, std::uint64_t started_ms) const
 {
   const notice* found = find(id, started_ms);
--- a/Source/Core/Gateway/ServerNotices.h
+++ b/Source/Core/Gateway/ServerNotices.h
@@ -34,6 +34,8 @@
   /// End of the pause of a server; empty if it takes requests.
   std::optional<time_point> paused_until(const std::string& id, std::uint64_t started_ms,
                                          time_point now) const;
+  /// True once after a pause has ended.
+  bool take_ended_pause(const std::string& id, std::uint64_t started_ms, time_point now);
 
 private:
   struct notice
@@ -41,6 +43,7 @@
     std::uint64_t started_ms = 0;
     bool leaving = false;
     time_point paused_until{};
+    bool end_reported = true;
   };
 
   const notice* find(const std::string& id, std::uint64_t started_ms) const;
--- a/Source/UnitTests/Gateway/ServerNoticesTest.cpp
+++ b/Source/UnitTests/Gateway/ServerNoticesTest.cpp
@@ -252,6 +252,9 @@
     CPPUNIT_ASSERT(*last.paused_until("s1", 1, now) > now + milliseconds(2400));
     CPPUNIT_ASSERT(!first.paused_until("s1", 1, now + milliseconds(2000)));
     CPPUNIT_ASSERT(!first.paused_until("s1", 2, now));
+    CPPUNIT_ASSERT(!first.take_ended_pause("s1", 1, now));
+    CPPUNIT_ASSERT(first.take_ended_pause("s1", 1, now + milliseconds(2000)));
+    CPPUNIT_ASSERT(!first.take_ended_pause("s1", 1, now + milliseconds(2000)));
     // A shorter pause does not end a longer one.
     CPPUNIT_ASSERT(!first.begin_pause("s1", 1, milliseconds(500), 0, now));
   }
