--- a/Source/UnitTests/Peers/PeerTableTest.cpp
+++ b/Source/UnitTests/Peers/PeerTableTest.cpp
@@ -276,6 +276,10 @@
     CPPUNIT_ASSERT(decoded_announcement);
     CPPUNIT_ASSERT(std::get<piece_announcement>(*decoded_announcement).states ==
                    announcement.states);
+    const auto leaving = decode_message(encode_message(server_leaving{"i-1", 77}));
+    CPPUNIT_ASSERT(leaving);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), std::get<server_leaving>(*leaving).server);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{77}, std::get<server_leaving>(*leaving).started_ms);
     // A length field of 4 billion elements must not cause an allocation.
     using namespace std::string_view_literals;
     CPPUNIT_ASSERT(!decode_message("\x00\x00\x00\x00\xff\xff\xff\xff"sv));
--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(manifest_and_staged_pieces);
   CPPUNIT_TEST(labels_of_a_request);
   CPPUNIT_TEST(statements_of_servers);
+  CPPUNIT_TEST(notices_of_servers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,6 +200,31 @@
     answer.status = 421;
     CPPUNIT_ASSERT(says_not_executed(answer));
   }
+
+  void notices_of_servers()
+  {
+    const auto notice = [](unsigned status, const std::string& name, const std::string& value)
+    {
+      async_io::message_head answer;
+      answer.status = status;
+      answer.fields = {{name, value}};
+      return decode_notice(answer);
+    };
+    CPPUNIT_ASSERT(notice(200, "server-leaving", "1").leaving);
+    CPPUNIT_ASSERT(!notice(200, "Server-Leaving", "0").leaving);
+    CPPUNIT_ASSERT(!notice(200, "Server-Leaving", "11").leaving);
+    CPPUNIT_ASSERT(notice(503, "Retry-After", "1.25").pause == std::chrono::milliseconds(1250));
+    CPPUNIT_ASSERT(notice(503, "Retry-After", "0").pause == std::chrono::milliseconds(0));
+    CPPUNIT_ASSERT(!notice(429, "Retry-After", "1").pause);
+    // A value that no integer of milliseconds holds.
+    CPPUNIT_ASSERT(*notice(503, "Retry-After", std::string(40, '9')).pause >
+                   std::chrono::hours(24));
+    for (const std::string value : {"-1", "+1", "1 ", "0x1", "1e2", "nan", "inf", "", "soon"})
+    {
+      CPPUNIT_ASSERT(!notice(503, "Retry-After", value).pause);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("soon"), notice(503, "Retry-After", "soon").unreadable_pause);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(decode_test, "Platform.Decode");
