StateFeed: a process that is behind asks the next peer; a replaced read that fails is no outage

A peer whose state of the servers is current may lack a configuration: a process that knows that it is behind goes on to the next peer. And a read that another one has replaced may still fail; its failure sent the process to its peers, although the store answers.

Test: StateFeed.Follower: process_that_is_behind_asks_the_next_peer, failure_of_a_replaced_read_is_no_outage failed before.

--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -310,6 +310,10 @@
   void on_store_page(topic_feed& feed, std::uint64_t read_number, const result<record_page>& page,
                      bool is_snapshot)
   {
+    if (read_number != feed.read_number && !page)
+    {
+      return;
+    }
     const bool applied = apply_store_page(feed, page, is_snapshot);
     if (read_number != feed.read_number)
     {
@@ -485,7 +489,9 @@
                            request_from_peer();
                          }
                        });
-    const auto peer = m_current_peer ? m_current_peer : m_handlers.next_peer();
+    // Another peer may have the records of the operator that the current one lacks.
+    const bool is_behind = m_peer_offset > m_operator.state.next_offset();
+    const auto peer = m_current_peer && !is_behind ? m_current_peer : m_handlers.next_peer();
     m_current_peer.reset();
     if (!peer)
     {
--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -75,6 +75,8 @@
   CPPUNIT_TEST(lost_read_of_the_store_does_not_delay_the_news_of_leaving_servers);
   CPPUNIT_TEST(servers_are_read_as_soon_as_the_store_answers_another_read);
   CPPUNIT_TEST(peer_with_current_state_is_asked_again);
+  CPPUNIT_TEST(process_that_is_behind_asks_the_next_peer);
+  CPPUNIT_TEST(failure_of_a_replaced_read_is_no_outage);
   CPPUNIT_TEST(every_reader_is_asked_before_store);
   CPPUNIT_TEST(agents_do_not_read_the_store_when_their_readers_are_down);
   CPPUNIT_TEST(stalled_read_of_the_store_is_not_repeated_at_once);
@@ -456,6 +458,45 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_to("cut off too"));
   }
 
+  /// Guards against a peer that has current state of the servers, and an old configuration, and is
+  /// asked again and again.
+  void process_that_is_behind_asks_the_next_peer()
+  {
+    m_peers = {"current", "newer"};
+    m_responses["current"] = {changes({}, 1)};
+    auto follower = make_follower(false);
+    follower.start();
+    m_store.answer(page({{"config", "1", 0}}, 1));
+    run_until_call();
+    m_store.answer(fail(error_code::unavailable, "503"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_to("current"));
+    follower.note_peer_offset(2);
+    run_until([this] { return m_requests.size() >= 2; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_to("newer"));
+  }
+
+  /// Guards against a process that turns to its peers although the store answers, because a read
+  /// that was replaced fails in the end.
+  void failure_of_a_replaced_read_is_no_outage()
+  {
+    auto follower = make_follower(true);
+    follower.start();
+    m_store.answer(page({}, 0));
+    m_store.answer(page({{"s1", "ready", 4}}, 5));
+    const auto is_read_of_servers = [](const scripted_store::call& call)
+    {
+      return call.operation == "read servers 5";
+    };
+    run_until(
+        [&] {
+          return std::count_if(m_store.calls.begin(), m_store.calls.end(), is_read_of_servers) == 2;
+        });
+    const auto lost = std::find_if(m_store.calls.begin(), m_store.calls.end(), is_read_of_servers);
+    m_store.calls.back().done(page({}, 5));
+    lost->done(fail(error_code::timeout, "lost"));
+    CPPUNIT_ASSERT_EQUAL(0, m_peer_request_count);
+  }
+
   /// Guards against all processes of a failure domain reading the store at once when its first
   /// readers are cut off or have lost power together, which saturates the regional links.
   void every_reader_is_asked_before_store()
