Gateway: a stream at a silent server moves as soon as another server can be used

Since an attempt is no longer given up without a retry, a request waited for one more whole silence (1.6 s) when neither a server nor the repeat budget was there at that moment. It is looked at again every 0.2 s.

Test: Gateway.SilentServer: stream_moves_as_soon_as_another_server_can_be_used failed before (line 139).

--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -23,6 +23,8 @@
 // one would reach the route's time limit.
 constexpr milliseconds pipeline_time_limit{1200};
 constexpr milliseconds pipeline_recheck_interval{300};
+// While a server is silent, a server or a retry that the request may use can appear at any time.
+constexpr milliseconds silence_recheck_interval{200};
 // Responses that are read whole before they are forwarded. Callers may send as much.
 constexpr std::size_t max_buffered_response_bytes = 4U << 20U;
 // The response is sent this long before the deadline, so that it reaches the caller in time.
@@ -475,7 +477,8 @@
     m_attempt->abandon("server is silent");
     return;
   }
-  restart_silence_timer();
+  m_silence_timer.start(silence_recheck_interval,
+                        [self = shared_from_this()] { self->handle_silence(); });
 }
 
 void request_exchange::leave_pipeline()
--- a/Source/UnitTests/Gateway/SilentServerTest.cpp
+++ b/Source/UnitTests/Gateway/SilentServerTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(stream_is_kept_when_no_attempt_is_left);
   CPPUNIT_TEST(plain_request_is_kept_when_the_repeat_budget_is_used_up);
   CPPUNIT_TEST(stream_moves_to_another_server_where_a_retry_is_allowed);
+  CPPUNIT_TEST(stream_moves_as_soon_as_another_server_can_be_used);
   CPPUNIT_TEST_SUITE_END();
 
   // Longer than the silence after which a request may move to another server.
@@ -124,6 +125,20 @@
     CPPUNIT_ASSERT_EQUAL(std::string("1"), *m_serving->heads.front().find("Last-Event-Id"));
     check_rest_of_stream();
   }
+
+  /// Guards against a stream that waits for one more whole silence after a retry has become
+  /// possible.
+  void stream_moves_as_soon_as_another_server_can_be_used()
+  {
+    answer_with(stream_head("r1") + encode_chunk(first_event));
+    send_stream_request();
+    add_server();
+    answer_with(stream_head("r1") + encode_chunk(second_event) + "0\r\n\r\n");
+    // Shorter than the rest of a second silence.
+    run_for(milliseconds(900));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, total_requests());
+    CPPUNIT_ASSERT_EQUAL(first_event + second_event, wait_for_response().body);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(silent_server_test, "Gateway.SilentServer");
