--- a/Source/Emulator/BackendServer.cpp
+++ b/Source/Emulator/BackendServer.cpp
@@ -198,6 +198,7 @@
     return;
   }
   *m_leaving = true;
+  m_environment.record.seen().leaving_words.push_back({m_id, m_environment.record.now()});
   m_drain_timeout = drain_timeout;
   // While the store is away the server stays, and only its answers say that it leaves.
   write_record();
--- a/Source/Emulator/Checks.cpp
+++ b/Source/Emulator/Checks.cpp
@@ -655,6 +655,25 @@
   return out;
 }
 
+leaving_times measure_leaving_times(const history& seen, const rule_bounds& bounds)
+{
+  std::unordered_map<std::string, moment> last_arrival;
+  for (const arrival& came : seen.arrivals)
+  {
+    last_arrival[came.server] = std::max(last_arrival[came.server], came.at);
+  }
+  leaving_times out;
+  for (const leaving_word& word : seen.leaving_words)
+  {
+    const bool disturbed = is_disturbed(seen, store_scope, word.at, word.at + bounds.drain_timeout);
+    auto& times = disturbed ? out.store_disturbed : out.store_up;
+    times.push_back(std::max(0.0, last_arrival[word.server] - word.at));
+  }
+  std::sort(out.store_up.begin(), out.store_up.end());
+  std::sort(out.store_disturbed.begin(), out.store_disturbed.end());
+  return out;
+}
+
 bool in_touch(const history& seen, const std::string& machine, moment at, const rule_bounds& bounds)
 {
   const moment from = at - bounds.stability_window;
--- a/Source/Emulator/Checks.h
+++ b/Source/Emulator/Checks.h
@@ -50,6 +50,15 @@
 std::span<const rule_check> all_checks();
 std::vector<violation> find_violations(const history& seen, const rule_bounds& bounds);
 
+/// How long servers got requests after they had said that they leave, in seconds, sorted.
+struct leaving_times
+{
+  std::vector<moment> store_up;
+  /// A fault of the store began or lasted meanwhile.
+  std::vector<moment> store_disturbed;
+};
+leaving_times measure_leaving_times(const history& seen, const rule_bounds& bounds);
+
 /// True if nothing disturbed the machine or the store in the window before `at`, and no stop of the
 /// machine was asked for.
 bool in_touch(const history& seen, const std::string& machine, moment at,
--- a/Source/Emulator/History.h
+++ b/Source/Emulator/History.h
@@ -103,6 +103,13 @@
   moment acknowledged = 0;
 };
 
+/// The moment from which the answers of a server say that it leaves.
+struct leaving_word
+{
+  std::string server;
+  moment at = 0;
+};
+
 /// Everything that a fault may affect is excused for a while.
 struct disturbance
 {
@@ -152,6 +159,7 @@
   std::vector<config_change> configs;
   std::vector<named_weights> weights;
   std::vector<leaving_server> leaving;
+  std::vector<leaving_word> leaving_words;
   std::vector<disturbance> disturbances;
   std::vector<process_start> starts;
   std::vector<process_crash> crashes;
--- a/Source/Emulator/Soak.cpp
+++ b/Source/Emulator/Soak.cpp
@@ -172,6 +172,7 @@
       forget_requests_of_others();
     }
     out.violations = find_violations(seen, m_bounds);
+    out.leaving = measure_leaving_times(seen, m_bounds);
     const bool kept_up = m_run.longest_delay() <= tolerated_delay;
     const bool broken =
         std::any_of(out.violations.begin(), out.violations.end(),
@@ -225,6 +226,9 @@
                              {"faults", report.faults},
                              {"origin_copies", report.origin_copies},
                              {"longest_delay_ms", report.longest_delay_ms},
+                             {"leaving_s",
+                              {{"store_up", report.leaving.store_up},
+                               {"store_disturbed", report.leaving.store_disturbed}}},
                              {"verdict", to_string(report.verdict)},
                              {"violations", report.violations.size()},
                              {"first_violation", nullptr}};
--- a/Source/Emulator/Soak.h
+++ b/Source/Emulator/Soak.h
@@ -44,6 +44,7 @@
   std::int64_t longest_delay_ms = 0;
   soak_verdict verdict = soak_verdict::not_run;
   std::vector<violation> violations;
+  leaving_times leaving;
 };
 
 /// Runs the system on the emulated platform for a while and checks what was seen. Errors as of
--- a/Source/UnitTests/Emulator/ChecksTest.cpp
+++ b/Source/UnitTests/Emulator/ChecksTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(stop_puts_a_machine_out_of_touch);
   CPPUNIT_TEST(servers_and_deadlines_excuse_a_cut_request);
   CPPUNIT_TEST(interruptions_excuse_requests_to_a_server_that_said_it_leaves);
+  CPPUNIT_TEST(time_from_the_word_of_a_server_to_its_last_request);
   CPPUNIT_TEST(few_requests_may_cross_the_answer_that_asks_for_a_pause);
   CPPUNIT_TEST(same_seed_draws_the_same_plan);
   CPPUNIT_TEST(plan_ends_before_the_run);
@@ -109,6 +110,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, find_violations(seen, m_bounds).size());
   }
 
+  void time_from_the_word_of_a_server_to_its_last_request()
+  {
+    history seen = make_sound_history();
+    // The last arrival of the sound history is at 20.01 s.
+    seen.leaving_words = {{"i-1", 19.51}, {"i-2", 5}};
+    seen.disturbances.push_back({"store", 4, 6});
+    const auto times = measure_leaving_times(seen, m_bounds);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, times.store_up.size());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, times.store_up.front(), 1e-6);
+    CPPUNIT_ASSERT(times.store_disturbed == std::vector<moment>{0});
+  }
+
   void few_requests_may_cross_the_answer_that_asks_for_a_pause()
   {
     history seen = make_sound_history();
