--- a/Source/UnitTests/Gateway/ServerNoticesTest.cpp
+++ b/Source/UnitTests/Gateway/ServerNoticesTest.cpp
@@ -97,7 +97,7 @@
     m_told.clear();
     m_next_request = 0;
     m_servers.clear();
-    m_gateway = std::make_unique<gateway::gateway>(
+    m_gateway = std::make_unique<pollenyoke::gateway::gateway>(
         m_loop, m_settings,
         entry_counts{[] { return 1; },
                      []
