LogFollower tests: who is a reader is asked before readers end

Traced: std::erase_if destroys the first reader while it still asks the others; where that takes long, others have taken over by then and are removed as well. The readers are set apart first now, then they end; the check that exactly two of twelve are readers stays.

--- a/Source/UnitTests/LogFollower/FleetFollowerTest.cpp
+++ b/Source/UnitTests/LogFollower/FleetFollowerTest.cpp
@@ -252,9 +252,15 @@
     CPPUNIT_ASSERT(appended.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("v"), all[0]->follower->state()->config.at("k"));
     CPPUNIT_ASSERT(all_reach(all, 1));
+    // Others take over while the two end, so that who is a reader has to be known before.
+    process_list readers;
     CPPUNIT_ASSERT(eventually([&] { return reader_count(all) == 2; }));
-    std::erase_if(all, [](const auto& one) { return one->is_reader(); });
+    const auto first_reader = std::stable_partition(
+        all.begin(), all.end(), [](const auto& one) { return !one->is_reader(); });
+    std::move(first_reader, all.end(), std::back_inserter(readers));
+    all.erase(first_reader, all.end());
     CPPUNIT_ASSERT_EQUAL(std::size_t{10}, all.size());
+    readers.clear();
     log.add(config(1));
     CPPUNIT_ASSERT(all_reach(all, 2));
     CPPUNIT_ASSERT(eventually([&] { return reader_count(all) == 2; }));
