Emulator: a server that continues a stream is not taken for the one that said it leaves

The check took the last server of the request for the one that had answered. It takes the last one that has said that it leaves now; the bound and the excuses are the same, and the altered history is still reported.

Test: Emulator.Checks: server_that_continues_a_stream_of_a_leaving_one_is_not_taken_for_it failed before (line 125).

--- a/Source/Emulator/Checks.cpp
+++ b/Source/Emulator/Checks.cpp
@@ -299,16 +299,25 @@
 
 leaving_answers index_leaving_answers(const history& seen)
 {
+  std::unordered_map<std::string, moment> words;
+  for (const leaving_word& word : seen.leaving_words)
+  {
+    words.try_emplace(word.server, word.at);
+  }
+  // A stream that goes on at another server keeps the head of the first one.
   std::unordered_map<std::string, std::string> last_server;
   for (const arrival& came : seen.arrivals)
   {
-    last_server[came.request] = came.server;
+    if (words.contains(came.server))
+    {
+      last_server[came.request] = came.server;
+    }
   }
   leaving_answers out;
   for (const attempt& sent : seen.attempts)
   {
     const auto server = last_server.find(sent.id);
-    if (sent.server_leaves && server != last_server.end())
+    if (sent.server_leaves && server != last_server.end() && words.at(server->second) <= sent.ended)
     {
       const auto [known, is_new] = out.try_emplace({sent.machine, server->second}, sent.ended);
       known->second = is_new ? sent.ended : std::min(known->second, sent.ended);
--- a/Source/Emulator/SelfCheck.cpp
+++ b/Source/Emulator/SelfCheck.cpp
@@ -118,6 +118,7 @@
 /// A machine passes an answer on, and sends the same server a request 3 s later.
 void use_server_that_said_it_leaves(history& seen)
 {
+  seen.leaving_words.push_back({"i-1", 18});
   seen.attempts.front().server_leaves = true;
   seen.attempts.push_back(make_attempt("after-leaving", 22.5, request_kind::idempotent));
   seen.arrivals.push_back(make_arrival("after-leaving", 22.51));
--- a/Source/UnitTests/Emulator/ChecksTest.cpp
+++ b/Source/UnitTests/Emulator/ChecksTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(stop_puts_a_machine_out_of_touch);
   CPPUNIT_TEST(servers_and_deadlines_excuse_a_cut_request);
   CPPUNIT_TEST(interruptions_excuse_requests_to_a_server_that_said_it_leaves);
+  CPPUNIT_TEST(server_that_continues_a_stream_of_a_leaving_one_is_not_taken_for_it);
   CPPUNIT_TEST(time_from_the_word_of_a_server_to_its_last_request);
   CPPUNIT_TEST(few_requests_may_cross_the_answer_that_asks_for_a_pause);
   CPPUNIT_TEST(same_seed_draws_the_same_plan);
@@ -110,6 +111,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, find_violations(seen, m_bounds).size());
   }
 
+  /// Soak seed 711: a leaving server crashed, and the stream that it had begun went on at another.
+  void server_that_continues_a_stream_of_a_leaving_one_is_not_taken_for_it()
+  {
+    history seen = make_sound_history();
+    altered("requests after leaving answers").alter(seen);
+    arrival continued = seen.arrivals.front();
+    continued.server = "i-2";
+    seen.arrivals.insert(seen.arrivals.begin() + 1, continued);
+    // The later request reaches the second server only.
+    seen.arrivals.back().server = "i-2";
+    seen.attempts.front().kind = request_kind::resumable_stream;
+    CPPUNIT_ASSERT(find_violations(seen, m_bounds).empty());
+  }
+
   void time_from_the_word_of_a_server_to_its_last_request()
   {
     history seen = make_sound_history();
