Gateway: a load report finds its server by address

With 156 to 265 agents that report ten times per second the time grew with the square of the fleet. Change: an index from address to the ids of the servers there; an entry that moves or leaves is taken out of it. Test: Gateway.LoadPattern: load_report_applies_to_the_servers_at_its_address (moved servers, successors at one address, servers that are gone).

--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -128,7 +128,17 @@
   server& backend = m_servers[entry.id];
   const bool restarted =
       backend.entry.started_ms != entry.started_ms || backend.entry.address != entry.address;
-  if (!backend.entry.id.empty() && restarted)
+  const bool is_new = backend.entry.id.empty();
+  const bool moved = !is_new && backend.entry.address != entry.address;
+  if (moved)
+  {
+    remove_from_index(backend);
+  }
+  if (is_new || moved)
+  {
+    m_ids_by_address.emplace(transport::to_string(entry.address), entry.id);
+  }
+  if (!is_new && restarted)
   {
     server replacement;
     replacement.in_flight = backend.in_flight;
@@ -232,17 +242,29 @@
     found->second.expires_at = found->second.expires_at.value_or(*keep_until);
     return;
   }
+  remove_from_index(found->second);
   m_servers.erase(found);
 }
 
+void backend_table::remove_from_index(const server& backend)
+{
+  const auto range = m_ids_by_address.equal_range(transport::to_string(backend.entry.address));
+  const auto indexed =
+      std::find_if(range.first, range.second,
+                   [&backend](const auto& item) { return item.second == backend.entry.id; });
+  if (indexed != range.second)
+  {
+    m_ids_by_address.erase(indexed);
+  }
+}
+
+/// Several records may name one address: that of a server that is gone and of its successor.
 void backend_table::update_load(const peers::load_message& load, time_point now)
 {
   for (auto& [id, backend] : m_servers)
   {
-    if (transport::to_string(backend.entry.address) != load.engine)
-    {
-      continue;
-    }
+    const std::string& id = indexed->second;
+    server& backend = m_servers.at(id);
     if (load.started_ms != 0 && backend.entry.started_ms != 0 &&
         load.started_ms < backend.entry.started_ms)
     {
--- a/Source/Core/Gateway/BackendTable.h
+++ b/Source/Core/Gateway/BackendTable.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Gateway/ServerNotices.h"
@@ -208,9 +209,12 @@
   /// Wait that one more request adds at a server, in milliseconds.
   static double added_wait_ms(const protocol::service* service);
   void eject(server& backend, time_point now);
+  void remove_from_index(const server& backend);
   std::size_t ejected_servers(const std::string& service, time_point now) const;
 
   std::map<std::string, server> m_servers;
+  /// Ids of the servers by `IP:PORT`, as load reports name engines by their address.
+  std::unordered_multimap<std::string, std::string> m_ids_by_address;
   server_notices m_notices;
   std::map<std::string, protocol::service> m_services;
   std::map<std::string, arrival_rate> m_arrivals;
--- a/Source/UnitTests/Gateway/LoadPatternTest.cpp
+++ b/Source/UnitTests/Gateway/LoadPatternTest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST_SUITE(load_pattern_test);
   CPPUNIT_TEST(water_filling_equalizes_the_waits);
   CPPUNIT_TEST(idle_engine_is_not_flooded);
+  CPPUNIT_TEST(load_report_applies_to_the_servers_at_its_address);
   CPPUNIT_TEST(admission_keeps_responses_on_time_at_twice_the_capacity);
   CPPUNIT_TEST_SUITE_END();
 
@@ -79,6 +80,57 @@
     CPPUNIT_ASSERT(choices["0"] <= entries / 2);
   }
 
+  /// Guards against reports that miss a server which has moved, or that count for one which is
+  /// gone.
+  void load_report_applies_to_the_servers_at_its_address()
+  {
+    backend_table table(1);
+    table.set_services(
+        {{"pool", {.name = "pool", .engine = protocol::engine_speed{}, .model = "m"}}});
+    const auto put = [&table](const std::string& id, const std::string& ip)
+    {
+      table.put({.id = id,
+                 .service = "pool",
+                 .address = {ip, 80},
+                 .slots = 4,
+                 .started_ms = 5,
+                 .weight_version = 1},
+                t0);
+    };
+    const auto report = [&table](const std::string& engine, std::uint64_t started_ms, bool loading)
+    {
+      peers::load_message load;
+      load.engine = engine;
+      load.started_ms = started_ms;
+      load.weight_version = 1;
+      load.loading = loading;
+      table.update_load(load, t0);
+    };
+    const auto is_usable = [&table]
+    {
+      return table.choose({.service = "pool"}, t0).has_value();
+    };
+    put("a", "10.0.0.1");
+    report("10.0.0.1:80", 5, true);
+    CPPUNIT_ASSERT(!is_usable());
+    put("a", "10.0.0.2");
+    CPPUNIT_ASSERT(is_usable());
+    report("10.0.0.1:80", 5, true);
+    CPPUNIT_ASSERT(is_usable());
+    report("10.0.0.2:80", 5, true);
+    CPPUNIT_ASSERT(!is_usable());
+    // A successor at the same address.
+    put("b", "10.0.0.2");
+    CPPUNIT_ASSERT(is_usable());
+    table.remove("a", std::nullopt);
+    report("10.0.0.2:80", 4, true);
+    CPPUNIT_ASSERT(is_usable());
+    report("10.0.0.2:80", 5, true);
+    CPPUNIT_ASSERT(!is_usable());
+    table.remove("b", std::nullopt);
+    report("10.0.0.2:80", 5, true);
+  }
+
   /// Simulates a FIFO server at twice its capacity, with and without admission control. Without it
   /// the queue grows until nearly all responses are late.
   void admission_keeps_responses_on_time_at_twice_the_capacity()
