Rollout: loads are spread over the time that is left

Cause: slots lay between 2.8 and 5.4 s after a version was named. Hosts whose pieces came behind their slots all loaded at once, and a platform with a limit of 10 s got no more time than one with 8 s. Change: the slots of a host lie between the time at which it held all pieces and the last time at which a load ends within the limit of the settings (load_plan). Tests: Rollout: loads_of_late_pieces_are_spread_over_the_time_left, longer_limit_gives_loads_more_time. The bounds of engine_loads_are_spread_over_time are unchanged; it calls the function with the new aggregate.

--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -115,6 +115,7 @@
             .peer_port = m_settings.peer_port,
             .uplink_bytes_per_s =
                 m_settings.link_mbit_per_s * 1e6 / 8 * rollout::piece_uplink_fraction,
+            .version_limit = m_settings.version_limit,
             .region = m_settings.region,
             .hosts = [this] { return plan_hosts(); },
             .relays = [this] { return m_peers.relays(); },
--- a/Source/Core/Rollout/LoadRule.cpp
+++ b/Source/Core/Rollout/LoadRule.cpp
@@ -10,10 +10,13 @@
 
 using std::chrono::milliseconds;
 
-// Most hosts hold all pieces after 3 s. Slots are spread over the rest of the 8 s time limit of a
-// version, less the time that the last engine needs to drain and load.
-constexpr milliseconds first_slot_delay{2800};
-constexpr milliseconds last_slot_delay{5400};
+// The first hosts hold all pieces by then.
+constexpr milliseconds first_slot_delay{2200};
+// Entries send nothing to engines with the old version in the last 1.3 s of the time limit, and an
+// engine needs as long to drain and load.
+constexpr milliseconds load_margin{2600};
+// Without a limit, loads are spread over as much time as with the usual one.
+constexpr milliseconds default_limit{8000};
 // The longest answers would take 2.5 s more, during which the engine could not prefill other
 // prompts. Requests still running at this point continue on other engines.
 constexpr milliseconds max_drain_time{800};
@@ -23,11 +26,13 @@
 
 } // namespace
 
-milliseconds planned_load_delay(const load_slot& slot)
+milliseconds planned_load_delay(const load_plan& plan)
 {
-  const auto span = static_cast<std::size_t>((last_slot_delay - first_slot_delay).count());
-  return first_slot_delay +
-         milliseconds(span * slot.position / std::max<std::size_t>(slot.host_count, 1));
+  const milliseconds limit = plan.version_limit.count() == 0 ? default_limit : plan.version_limit;
+  const milliseconds first = std::max(first_slot_delay, plan.ready_after);
+  const milliseconds last = std::max(first, limit - load_margin);
+  const auto hosts = static_cast<milliseconds::rep>(std::max<std::size_t>(plan.slot.host_count, 1));
+  return first + (last - first) * static_cast<milliseconds::rep>(plan.slot.position) / hosts;
 }
 
 load_action decide_load(const load_inputs& inputs)
@@ -56,7 +61,7 @@
   }
   if (!inputs.draining_for)
   {
-    return inputs.version_age >= planned_load_delay(inputs.slot) ? load_action::drain
+    return inputs.version_age >= planned_load_delay(inputs.plan) ? load_action::drain
                                                                  : load_action::wait;
   }
   const bool idle = report.running + report.waiting == 0;
--- a/Source/Core/Rollout/LoadRule.h
+++ b/Source/Core/Rollout/LoadRule.h
@@ -16,6 +16,16 @@
   std::size_t host_count = 1;
 };
 
+/// What the time of an engine's load follows from.
+struct load_plan
+{
+  load_slot slot;
+  /// Time within which all engines have to serve a version; 0 if there is no limit.
+  std::chrono::milliseconds version_limit{8000};
+  /// Age of the version when this host held all pieces of it; 0 if it does not yet.
+  std::chrono::milliseconds ready_after{};
+};
+
 struct load_inputs
 {
   protocol::engine_report report;
@@ -27,7 +37,7 @@
   bool first_part_ready = false;
   /// Time since this host learned of `ready_version`.
   std::chrono::milliseconds version_age{};
-  load_slot slot;
+  load_plan plan;
   /// How long entries have been told to send no new requests; empty if the engine accepts them.
   std::optional<std::chrono::milliseconds> draining_for;
   /// Time since a load order was sent whose answer was lost; empty if there is none.
@@ -48,9 +58,10 @@
   load_rest,
 };
 
-/// Delay between learning of a version and the time at which the engine in this slot starts to
-/// drain.
-std::chrono::milliseconds planned_load_delay(const load_slot& slot);
+/// Delay between learning of a version and the time at which the engine starts to drain. Load
+/// pattern: an engine that loads is lost to requests for a second, so the loads are spread over the
+/// time between the arrival of the pieces and the last time at which a load ends within the limit.
+std::chrono::milliseconds planned_load_delay(const load_plan& plan);
 
 /// Decides when the engine of this host loads. Load pattern: a steady flow of requests while all
 /// engines have to load within the time limit of a version. Loading aborts running requests, so
--- a/Source/Core/Rollout/PieceFetcher.h
+++ b/Source/Core/Rollout/PieceFetcher.h
@@ -28,6 +28,8 @@
   std::uint16_t peer_port = 0;
   /// Uplink rate limit for pieces while this host's engine serves, in bytes per second.
   double uplink_bytes_per_s = 1e6;
+  /// Time within which all engines have to serve a version; 0 if there is no limit.
+  std::chrono::milliseconds version_limit{8000};
   std::string region;
   std::function<std::vector<rollout_host>()> hosts;
   /// Live entries, which relay pieces. An empty function means that there are none.
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -206,6 +206,14 @@
   return {static_cast<std::size_t>(self - hosts.begin()), hosts.size()};
 }
 
+load_plan rollout_agent::make_load_plan(std::uint64_t version) const
+{
+  const auto ready = m_ready_after.find(version);
+  return {.slot = own_load_slot(),
+          .version_limit = m_environment.version_limit,
+          .ready_after = ready == m_ready_after.end() ? milliseconds(0) : ready->second};
+}
+
 void rollout_agent::publish_report(bool loading)
 {
   std::optional<milliseconds> load_in;
@@ -213,7 +221,8 @@
   if (!loading && named != m_named_versions.end() && m_report->weight_version != 0 &&
       m_report->weight_version < named->first)
   {
-    load_in = std::max(milliseconds(1), planned_load_delay(own_load_slot()) - since(named->second));
+    load_in = std::max(milliseconds(1),
+                       planned_load_delay(make_load_plan(named->first)) - since(named->second));
   }
   m_handlers.on_report(*m_report, loading, load_in);
 }
@@ -294,6 +303,10 @@
 
 void rollout_agent::on_pieces_complete(std::uint64_t version)
 {
+  if (const auto named = m_named_versions.find(version); named != m_named_versions.end())
+  {
+    m_ready_after.try_emplace(version, since(named->second));
+  }
   const fetch_counts& counts = m_fetchers.at(version)->counts();
   log_info(log_category::weights, "all pieces fetched",
            {{"version", version},
@@ -471,11 +484,11 @@
   inputs.holds_all_layers = engine_holds_all_layers();
   const auto wanted = m_fetchers.find(target_version());
   inputs.first_part_ready = wanted != m_fetchers.end() && wanted->second->has_first_part();
-  inputs.slot = own_load_slot();
   if (const piece_set* pieces = ready_pieces())
   {
     const auto named = m_named_versions.find(pieces->version());
     inputs.ready_version = pieces->version();
+    inputs.plan = make_load_plan(pieces->version());
     inputs.version_age =
         named == m_named_versions.end() ? milliseconds(3'600'000) : since(named->second);
   }
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -71,6 +71,7 @@
   std::size_t position_in_region() const;
   std::uint64_t target_version() const;
   load_slot own_load_slot() const;
+  load_plan make_load_plan(std::uint64_t version) const;
   /// Whether the set of known hosts is stable, so that a fetch can be planned.
   bool has_settled();
   void publish_report(bool loading);
@@ -113,6 +114,8 @@
   /// Known versions and the time at which this host learned of each.
   std::map<std::uint64_t, async_io::time_point> m_named_versions;
   std::map<std::uint64_t, std::shared_ptr<piece_fetcher>> m_fetchers;
+  /// Age of each version when this host held all of its pieces.
+  std::map<std::uint64_t, std::chrono::milliseconds> m_ready_after;
   /// Layers whose pieces the newest fetch requests first; empty if the engine had weights when the
   /// fetch started. Stored because the host's position may change during the fetch.
   protocol::layer_range m_first_layers;
--- a/Source/UnitTests/Rollout/RolloutTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutTest.cpp
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(first_reads_are_spread_over_hosts);
   CPPUNIT_TEST(corrupt_pieces_are_rejected);
   CPPUNIT_TEST(engine_loads_are_spread_over_time);
+  CPPUNIT_TEST(loads_of_late_pieces_are_spread_over_the_time_left);
+  CPPUNIT_TEST(longer_limit_gives_loads_more_time);
   CPPUNIT_TEST(engine_without_weights_loads_in_two_parts);
   CPPUNIT_TEST(layer_ranges_cover_all_pieces);
   CPPUNIT_TEST(engine_loads_once_its_requests_finish);
@@ -122,7 +124,7 @@
     std::map<std::int64_t, int> loads_per_half_second;
     for (std::size_t position = 0; position < hosts; ++position)
     {
-      const auto delay = planned_load_delay({position, hosts});
+      const auto delay = planned_load_delay({.slot = {position, hosts}});
       ++loads_per_half_second[delay.count() / 500];
       // Leaves 1 s to drain and load and 1 s of margin within the 8 s time limit of a version.
       CPPUNIT_ASSERT(delay <= milliseconds(6000));
@@ -135,10 +137,10 @@
     inputs.report.weight_version = 1;
     inputs.holds_all_layers = true;
     inputs.ready_version = 2;
-    inputs.slot = {14, hosts};
-    inputs.version_age = planned_load_delay({0, hosts});
+    inputs.plan.slot = {14, hosts};
+    inputs.version_age = planned_load_delay({.slot = {0, hosts}});
     CPPUNIT_ASSERT(decide_load(inputs) == load_action::wait);
-    inputs.version_age = planned_load_delay(inputs.slot);
+    inputs.version_age = planned_load_delay(inputs.plan);
     CPPUNIT_ASSERT(decide_load(inputs) == load_action::drain);
     inputs.report.busy = true;
     CPPUNIT_ASSERT(decide_load(inputs) == load_action::wait);
@@ -148,6 +150,38 @@
     CPPUNIT_ASSERT(decide_load(inputs) == load_action::load);
   }
 
+  /// Guards against engines that all load at once because their pieces came behind their slots.
+  void loads_of_late_pieces_are_spread_over_the_time_left()
+  {
+    constexpr std::size_t hosts = 100;
+    constexpr milliseconds ready_after{4000};
+    std::map<std::int64_t, int> loads_per_half_second;
+    for (std::size_t position = 0; position < hosts; ++position)
+    {
+      const auto delay =
+          planned_load_delay({.slot = {position, hosts}, .ready_after = ready_after});
+      ++loads_per_half_second[delay.count() / 500];
+      CPPUNIT_ASSERT(delay >= ready_after);
+      CPPUNIT_ASSERT(delay <= milliseconds(6000));
+    }
+    for (const auto& [half_second, count] : loads_per_half_second)
+    {
+      CPPUNIT_ASSERT(count <= static_cast<int>(hosts / 2));
+    }
+    // Nothing can be spread any more: every engine loads as soon as it can.
+    CPPUNIT_ASSERT(planned_load_delay({.slot = {99, hosts}, .ready_after = milliseconds(7000)}) ==
+                   milliseconds(7000));
+  }
+
+  void longer_limit_gives_loads_more_time()
+  {
+    const load_slot last{99, 100};
+    const auto usual = planned_load_delay({.slot = last, .version_limit = milliseconds(8000)});
+    const auto longer = planned_load_delay({.slot = last, .version_limit = milliseconds(10000)});
+    CPPUNIT_ASSERT(longer > usual + milliseconds(1500));
+    CPPUNIT_ASSERT(longer <= milliseconds(8000));
+  }
+
   /// Guards against an engine that waits for all pieces although half of them would let it serve,
   /// and against one that never loads its second half or aborts its requests to load it.
   void engine_without_weights_loads_in_two_parts()
@@ -211,7 +245,7 @@
     inputs.holds_all_layers = true;
     inputs.report.running = 3;
     inputs.ready_version = 2;
-    inputs.version_age = planned_load_delay({0, 1});
+    inputs.version_age = planned_load_delay({.slot = {0, 1}});
     inputs.draining_for = milliseconds(100);
     CPPUNIT_ASSERT(decide_load(inputs) == load_action::wait);
     inputs.report.running = 0;
