StateFeed: the store is polled as often as the platform's limits need

Cause: the reader of each failure domain read the servers' records every 0.45 s, which holds news to 2 s. Platforms of large fleets allow 3 or 4 s, and each call is paid for. Test: StateFeed.TopicState: longer_limit_needs_fewer_reads.

--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -27,7 +27,9 @@
       : m_settings(settings), m_caller(m_loop), m_monitor(m_loop, m_caller),
         m_store(m_caller, settings.store),
         m_peers(m_loop, m_caller, m_store, settings, make_peer_handlers()),
-        m_feed(m_loop, m_store, make_feed_handlers(), false, state_feed::store_use::last_resort),
+        m_feed(m_loop, m_store, make_feed_handlers(), false, state_feed::store_use::last_resort,
+               settings.backend_heartbeat,
+               state_feed::make_feed_timing(std::min(settings.drain_limit, settings.config_limit))),
         m_rollout(make_environment(), *settings.engine, make_rollout_handlers())
   {
   }
--- a/Source/Core/Protocol/NodeSettings.cpp
+++ b/Source/Core/Protocol/NodeSettings.cpp
@@ -137,6 +137,8 @@
                       { return milliseconds(static_cast<std::int64_t>(value * 1000)); });
                 });
   root.optional("version_limit_ms", out.version_limit, duration_in<milliseconds>(0, 3600000));
+  root.optional("drain_limit_ms", out.drain_limit, duration_in<milliseconds>(100, 3600000));
+  root.optional("config_limit_ms", out.config_limit, duration_in<milliseconds>(100, 3600000));
   root.optional("backend_heartbeat_ms", out.backend_heartbeat,
                 duration_in<milliseconds>(100, 3600000));
   root.optional("lookup_lifetime_limit_s", out.lookup_lifetime_limit,
--- a/Source/Core/Protocol/NodeSettings.h
+++ b/Source/Core/Protocol/NodeSettings.h
@@ -53,6 +53,10 @@
   std::chrono::milliseconds stop_grace{8000};
   /// Latest time for a new version of the weights to serve everywhere.
   std::chrono::milliseconds version_limit{8000};
+  /// Latest time for a leaving backend server to get no more requests, and for a configuration to
+  /// be in force.
+  std::chrono::milliseconds drain_limit{2000};
+  std::chrono::milliseconds config_limit{2000};
   /// Interval at which backend servers write their records.
   std::chrono::milliseconds backend_heartbeat{1200};
   std::chrono::seconds lookup_lifetime_limit{5};
--- /dev/null
+++ b/Source/Core/StateFeed/FeedTiming.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+
+namespace pollenyoke::state_feed
+{
+
+/// How often the store is read and how old state may be. The defaults hold news of leaving servers
+/// and of configurations to two seconds.
+struct feed_timing
+{
+  /// Servers write continuously, so a long poll for their records would return immediately.
+  std::chrono::milliseconds backend_poll_interval{450};
+  /// State of the backend servers that is older than this is read from the store beside the read
+  /// that is not answered.
+  std::chrono::milliseconds max_backend_age{1100};
+  /// A process that serves state to others waits for news while its state is older than this.
+  std::chrono::milliseconds max_relay_age{900};
+};
+
+/// Timing for a platform that allows news this long. Each call to the store is paid for, and a
+/// longer limit allows fewer of them. `limit`: the shorter of the limits for leaving servers and
+/// for configurations. Pure.
+inline feed_timing make_feed_timing(std::chrono::milliseconds limit)
+{
+  using std::chrono::milliseconds;
+  constexpr milliseconds default_limit{2000};
+  // With a larger interval a reader that fails would be noticed too late by processes that ask it.
+  constexpr milliseconds max_limit{4000};
+  constexpr milliseconds min_limit{500};
+  const milliseconds used = std::clamp(limit, min_limit, max_limit);
+  const auto scaled = [used, default_limit](milliseconds time)
+  {
+    return time * used.count() / default_limit.count();
+  };
+  const feed_timing base;
+  return {.backend_poll_interval = scaled(base.backend_poll_interval),
+          .max_backend_age = scaled(base.max_backend_age),
+          .max_relay_age = scaled(base.max_relay_age)};
+}
+
+} // namespace pollenyoke::state_feed
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -14,6 +14,7 @@
 #include "AsyncIo/EventLoop.h"
 #include "Common/Log.h"
 #include "Common/Result.h"
+#include "StateFeed/FeedTiming.h"
 #include "StateFeed/RelayPage.h"
 #include "StateFeed/TopicRelay.h"
 #include "StateFeed/TopicState.h"
@@ -33,9 +34,6 @@
 // Long polls deliver a change as soon as it is written. A shorter wait costs more calls; a longer
 // wait delays the detection of a stalled connection.
 constexpr std::chrono::milliseconds operator_poll_wait{10000};
-// A leaving backend server must receive no requests 2 s after the store accepted its record.
-// Servers write continuously, so a long poll would return immediately.
-constexpr std::chrono::milliseconds backend_poll_interval{450};
 constexpr std::chrono::milliseconds initial_retry_delay{250};
 constexpr std::chrono::milliseconds max_retry_delay{1000};
 // Processes receive a change within this time of each other; a process that has not received it by
@@ -48,9 +46,6 @@
 // wait for it: if each of them read the whole state, the regional link would be full for longer.
 constexpr std::chrono::milliseconds first_state_patience{4000};
 
-// State of the backend servers that is older than this is read from the store beside the read that
-// is not answered; a leaving server must receive no requests after 2 s.
-constexpr std::chrono::milliseconds max_backend_age{1100};
 constexpr std::chrono::milliseconds backend_age_check_interval{100};
 // Longest interval between such reads while the store does not answer either.
 constexpr std::chrono::milliseconds max_extra_read_interval{4400};
@@ -91,20 +86,22 @@
 public:
   state_follower(async_io::event_loop& loop, Store& store, feed_handlers handlers,
                  bool follow_backends, store_use use = store_use::direct,
-                 std::chrono::milliseconds backend_heartbeat = default_heartbeat)
+                 std::chrono::milliseconds backend_heartbeat = default_heartbeat,
+                 const feed_timing& timing = {})
       : m_store(store), m_handlers(std::move(handlers)), m_follow_backends(follow_backends),
-        m_store_use(use),
+        m_store_use(use), m_timing(timing),
         m_operator(
             loop, record_topic::operator_records,
             [this](const record& change) { m_handlers.on_operator_record(change); },
-            [this] { return last_confirmed(); }),
+            [this] { return last_confirmed(); }, default_heartbeat, timing.max_relay_age),
         m_backends(
             loop, record_topic::backend_servers,
             [this](const record& change) {
               m_handlers.on_backend_record(change,
                                            m_backends.state.may_return_until(change, now()));
             },
-            [this] { return m_backends.state.confirmed_at(); }, backend_heartbeat),
+            [this] { return m_backends.state.confirmed_at(); }, backend_heartbeat,
+            timing.max_relay_age),
         m_catch_up_timer(loop), m_peer_timer(loop), m_backend_age_timer(loop)
   {
   }
@@ -165,9 +162,9 @@
     topic_feed(async_io::event_loop& loop, record_topic followed,
                topic_state::change_handler on_change,
                std::function<async_io::time_point()> confirmed_at,
-               std::chrono::milliseconds heartbeat = default_heartbeat)
+               std::chrono::milliseconds heartbeat, std::chrono::milliseconds max_age)
         : topic(followed), state(std::move(on_change), heartbeat),
-          relay(loop, state, std::move(confirmed_at)), timer(loop)
+          relay(loop, state, std::move(confirmed_at), max_age), timer(loop)
     {
     }
 
@@ -333,7 +330,7 @@
     {
       feed.retry_delay = initial_retry_delay;
       const bool needs_interval = feed.topic == record_topic::backend_servers && !feed.resync;
-      pause = needs_interval ? backend_poll_interval : pause;
+      pause = needs_interval ? m_timing.backend_poll_interval : pause;
     }
     feed.timer.start(pause, [this, &feed] { read_next(feed); });
   }
@@ -448,7 +445,7 @@
   {
     m_backend_age_timer.start(backend_age_check_interval, [this] { check_backend_age(); });
     if (m_store_use != store_use::direct || !m_backends.state.is_initialized() ||
-        m_backends.resync || now() - m_backends.state.confirmed_at() < max_backend_age ||
+        m_backends.resync || now() - m_backends.state.confirmed_at() < m_timing.max_backend_age ||
         now() < m_extra_read_at + m_extra_read_interval)
     {
       return;
@@ -465,7 +462,7 @@
       m_extra_read_interval = std::min(m_extra_read_interval * 2, max_extra_read_interval);
       return;
     }
-    m_extra_read_interval = max_backend_age;
+    m_extra_read_interval = m_timing.max_backend_age;
     if (m_backends.current_reader.empty())
     {
       // Takes the place of the read whose answer has not come.
@@ -520,15 +517,17 @@
                    });
   }
 
-  static bool is_current(const result<relay_page>& page)
+  bool is_current(const result<relay_page>& page) const
   {
-    return page && page->has_state && std::chrono::milliseconds(page->age_ms) < max_relay_age;
+    return page && page->has_state &&
+           std::chrono::milliseconds(page->age_ms) < m_timing.max_relay_age;
   }
 
   Store& m_store;
   feed_handlers m_handlers;
   bool m_follow_backends;
   store_use m_store_use;
+  feed_timing m_timing;
   async_io::time_point m_started{};
   async_io::time_point m_stalled_read_replaced{};
   topic_feed m_operator;
@@ -537,7 +536,7 @@
   async_io::timer m_peer_timer;
   async_io::timer m_backend_age_timer;
   async_io::time_point m_extra_read_at{};
-  std::chrono::milliseconds m_extra_read_interval = max_backend_age;
+  std::chrono::milliseconds m_extra_read_interval = m_timing.max_backend_age;
   /// Peer that had current state when it was asked last; it is asked again before the next one.
   std::optional<std::string> m_current_peer;
   std::uint64_t m_peer_offset = 0;
--- a/Source/Core/StateFeed/TopicRelay.cpp
+++ b/Source/Core/StateFeed/TopicRelay.cpp
@@ -15,8 +15,8 @@
 } // namespace
 
 topic_relay::topic_relay(async_io::event_loop& loop, const topic_state& topic,
-                         std::function<async_io::time_point()> confirmed_at)
-    : m_topic(topic), m_confirmed_at(std::move(confirmed_at)), m_timer(loop)
+                         std::function<async_io::time_point()> confirmed_at, milliseconds max_age)
+    : m_topic(topic), m_confirmed_at(std::move(confirmed_at)), m_max_age(max_age), m_timer(loop)
 {
 }
 
@@ -28,7 +28,7 @@
 
 bool topic_relay::is_stale() const
 {
-  return m_topic.is_initialized() && age() >= max_relay_age;
+  return m_topic.is_initialized() && age() >= m_max_age;
 }
 
 bool topic_relay::has_news(const changes_request& request) const
--- a/Source/Core/StateFeed/TopicRelay.h
+++ b/Source/Core/StateFeed/TopicRelay.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "AsyncIo/EventLoop.h"
+#include "StateFeed/FeedTiming.h"
 #include "StateFeed/RelayPage.h"
 #include "StateFeed/TopicState.h"
 
@@ -21,8 +22,6 @@
 // When the first reader of a failure domain is cut off, the second one needs this long to read the
 // store itself.
 constexpr std::chrono::milliseconds confirmation_wait{200};
-// State from a reader is not relied on if the store confirmed it longer ago than this.
-constexpr std::chrono::milliseconds max_relay_age{900};
 
 /// Serves the records of one topic to other processes.
 class topic_relay
@@ -31,9 +30,10 @@
   using responder = std::function<void(std::string body)>;
 
   /// `confirmed_at` returns when the state was last confirmed to be current; each response carries
-  /// its age.
+  /// its age. State that was confirmed longer ago than `max_age` is not relied on.
   topic_relay(async_io::event_loop& loop, const topic_state& topic,
-              std::function<async_io::time_point()> confirmed_at);
+              std::function<async_io::time_point()> confirmed_at,
+              std::chrono::milliseconds max_age = feed_timing{}.max_relay_age);
 
   /// Responds with the requested records, except those of the key `excluded_key`. A request that
   /// may wait is held for up to relay_wait if there is no change, or for confirmation_wait if the
@@ -61,6 +61,7 @@
 
   const topic_state& m_topic;
   std::function<async_io::time_point()> m_confirmed_at;
+  std::chrono::milliseconds m_max_age;
   async_io::timer m_timer;
   std::vector<pending_request> m_pending;
   /// Encoded records of the current state: all followers of a failure domain ask for the same ones.
--- a/Source/UnitTests/StateFeed/TopicStateTest.cpp
+++ b/Source/UnitTests/StateFeed/TopicStateTest.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "StateFeed/FeedTiming.h"
 #include "StateFeed/RelayPage.h"
 #include "StateFeed/TopicState.h"
 
@@ -36,6 +37,7 @@
   CPPUNIT_TEST(removal_that_a_reader_knows_to_be_final_is_final);
   CPPUNIT_TEST(server_that_stopped_writing_in_an_outage_may_return);
   CPPUNIT_TEST(truncated_relay_page_is_an_error);
+  CPPUNIT_TEST(longer_limit_needs_fewer_reads);
   CPPUNIT_TEST_SUITE_END();
 
   std::vector<std::string> m_applied;
@@ -197,6 +199,24 @@
       CPPUNIT_ASSERT(!decode_relay_page(good.substr(0, size)));
     }
   }
+
+  /// Guards against reads of the store that the platform's limits do not need, and against state
+  /// that is out of date for longer than they allow.
+  void longer_limit_needs_fewer_reads()
+  {
+    const feed_timing usual = make_feed_timing(std::chrono::milliseconds(2000));
+    const feed_timing longer = make_feed_timing(std::chrono::milliseconds(4000));
+    CPPUNIT_ASSERT(usual.backend_poll_interval == feed_timing{}.backend_poll_interval);
+    CPPUNIT_ASSERT(longer.backend_poll_interval == 2 * usual.backend_poll_interval);
+    for (const std::int64_t limit_ms : {500, 1000, 2000, 3000, 4000, 60000})
+    {
+      const std::chrono::milliseconds limit(limit_ms);
+      const feed_timing timing = make_feed_timing(limit);
+      CPPUNIT_ASSERT(timing.max_backend_age + timing.backend_poll_interval < limit);
+      CPPUNIT_ASSERT(timing.backend_poll_interval < timing.max_relay_age);
+      CPPUNIT_ASSERT(timing.max_relay_age < timing.max_backend_age);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(topic_state_test, "StateFeed.TopicState");
