Gateway: requests that wait at an engine are withdrawn before its weights reach their limit

Change: an attempt without an answer is taken back 0.6 s before the limit and goes to an engine with newer weights; without one it is kept for up to 0.3 s more. A stream that has begun stays.

--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds pipeline_recheck_interval{300};
 // While a server is silent, a server or a retry that the request may use can appear at any time.
 constexpr milliseconds silence_recheck_interval{200};
+// An engine with newer weights usually becomes available in this time, while engines load them.
+constexpr milliseconds withdrawal_patience{300};
+constexpr milliseconds withdrawal_recheck_interval{50};
 // Responses that are read whole before they are forwarded. Callers may send as much.
 constexpr std::size_t max_buffered_response_bytes = 4U << 20U;
 // The response is sent this long before the deadline, so that it reaches the caller in time.
@@ -53,7 +56,7 @@
                                    response_sink sink)
     : m_context(context), m_request(std::move(request)), m_sink(std::move(sink)),
       m_deadline_timer(context.loop), m_silence_timer(context.loop), m_pipeline_timer(context.loop),
-      m_retry_timer(context.loop),
+      m_withdrawal_timer(context.loop), m_retry_timer(context.loop),
       m_content(make_content({.service = m_request.service,
                               .team = m_request.caller.team,
                               .target = m_request.head.target,
@@ -301,9 +304,46 @@
   {
     m_pipeline_timer.start(pipeline_time_limit, [self] { self->leave_pipeline(); });
   }
+  start_withdrawal_timer(choice);
   m_attempt->start();
 }
 
+void request_exchange::start_withdrawal_timer(const backend_choice& choice)
+{
+  const auto* service = m_request.table->find_service(m_request.service);
+  const auto at = service != nullptr && service->engine && choice.weight_version != 0
+                      ? m_context.versions.withdrawal_time(service->model, choice.weight_version)
+                      : std::nullopt;
+  if (!at)
+  {
+    m_withdrawal_timer.cancel();
+    return;
+  }
+  const auto delay = std::chrono::ceil<milliseconds>(*at - std::chrono::steady_clock::now());
+  m_withdrawal_timer.start(std::max(milliseconds(1), delay),
+                           [self = shared_from_this(), at = *at] { self->withdraw(at); });
+}
+
+/// Load pattern: an engine whose load is late has a queue, and begins requests that were sent in
+/// time behind the time limit of its weights.
+void request_exchange::withdraw(time_point since)
+{
+  if (m_ended || !m_attempt || m_attempt_answered || m_head.status != 0)
+  {
+    return;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  if (now - since < withdrawal_patience && !find_replacement())
+  {
+    m_withdrawal_timer.start(withdrawal_recheck_interval,
+                             [self = shared_from_this(), since] { self->withdraw(since); });
+    return;
+  }
+  m_migrating = true;
+  m_attempt->abandon("weights of the engine are too old to begin the request");
+  m_migrating = false;
+}
+
 /// Tells the agents of the chosen engines how many prompt tokens the request adds.
 void request_exchange::notify_agents() const
 {
@@ -515,6 +555,7 @@
 {
   m_attempt = nullptr;
   m_silence_timer.cancel();
+  m_withdrawal_timer.cancel();
   const auto now = std::chrono::steady_clock::now();
   const bool server_error = result.complete && m_head.status >= 500;
   // A stream that ends with its connection is complete only if it has begun.
@@ -656,6 +697,7 @@
   m_deadline_timer.cancel();
   m_silence_timer.cancel();
   m_pipeline_timer.cancel();
+  m_withdrawal_timer.cancel();
   m_retry_timer.cancel();
   end_trial();
   const auto now = std::chrono::steady_clock::now();
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -89,6 +89,10 @@
   std::optional<backend_choice> find_replacement();
   /// Moves the request to another server, if one is available.
   void handle_silence();
+  /// Sets the time at which the request is taken back if its server has not begun it.
+  void start_withdrawal_timer(const backend_choice& choice);
+  /// Takes the request back from an engine whose weights may soon start no more requests.
+  void withdraw(time_point since);
   /// Moves a stream from a pipeline to an engine with all layers, if one is available.
   void leave_pipeline();
   void handle_deadline();
@@ -103,6 +107,7 @@
   async_io::timer m_deadline_timer;
   async_io::timer m_silence_timer;
   async_io::timer m_pipeline_timer;
+  async_io::timer m_withdrawal_timer;
   async_io::timer m_retry_timer;
   std::shared_ptr<backend_attempt> m_attempt;
   /// Server of the current or last attempt.
--- a/Source/Core/Gateway/VersionPolicy.cpp
+++ b/Source/Core/Gateway/VersionPolicy.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/VersionPolicy.h"
 
+#include <algorithm>
+
 namespace pollenyoke::gateway
 {
 
@@ -11,6 +13,9 @@
 // Covers the delay until this process learns of a version that the store has accepted, and the time
 // that a request waits in an engine's queue.
 constexpr milliseconds propagation_margin{1300};
+// Covers the delay until this process learns of a version, and the time that the end of a
+// connection takes to reach the engine.
+constexpr milliseconds withdrawal_margin{600};
 // Versions older than this are not reported; the exact age no longer matters.
 constexpr milliseconds max_reported_age{60000};
 
@@ -80,4 +85,21 @@
   return oldest;
 }
 
+std::optional<version_policy::time_point>
+version_policy::withdrawal_time(const std::string& model, std::uint64_t version) const
+{
+  const auto named = m_versions.find(model);
+  if (named == m_versions.end() || m_limit.count() == 0)
+  {
+    return std::nullopt;
+  }
+  std::optional<time_point> earliest;
+  for (auto newer = named->second.upper_bound(version); newer != named->second.end(); ++newer)
+  {
+    const time_point limit = newer->second.published_at + m_limit - withdrawal_margin;
+    earliest = std::min(earliest.value_or(limit), limit);
+  }
+  return earliest;
+}
+
 } // namespace pollenyoke::gateway
--- a/Source/Core/Gateway/VersionPolicy.h
+++ b/Source/Core/Gateway/VersionPolicy.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,9 @@
   std::uint64_t newest(const std::string& model) const;
   /// The oldest version of the model that may start a request now; 0 for any.
   std::uint64_t minimum(const std::string& model, time_point now) const;
+  /// Time at which a request that an engine with this version has not begun is taken back from it;
+  /// empty while no newer version is named.
+  std::optional<time_point> withdrawal_time(const std::string& model, std::uint64_t version) const;
 
 private:
   struct version_record
