Gateway: callers that are refused return when there may be room

Cause: a refused caller was told to return after the time by which the estimate exceeded its limit. Admission keeps the estimate near the limit in any overload, so callers returned after 0.12 s, were refused again and returned no more. While no engine had weights, after a loss of power, they returned after 0.6 s of an outage of several seconds. Change: with more than 5% of the requests of a service refused lately, or while its engines load weights, a caller is told to return as late as it accepts (a third of its time, spread over a fifth of that). Requests that are late already are admitted up to 0.35 of the objective instead of 0.2: the queue falls below that only when the overload ends.

--- a/Source/Core/Gateway/AdmissionPolicy.cpp
+++ b/Source/Core/Gateway/AdmissionPolicy.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/AdmissionPolicy.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pollenyoke::gateway
 {
@@ -13,7 +14,7 @@
 constexpr double on_time_wait_share = 0.85;
 // A request that is already late is worth less than one that can still be on time, so its queueing
 // time may reach only this share of the objective.
-constexpr double late_wait_share = 0.2;
+constexpr double late_wait_share = 0.35;
 // A server with less queued work than this counts as idle; rejecting the request would leave it
 // unused.
 constexpr double idle_wait_ms = 30;
@@ -26,6 +27,16 @@
 // the objective.
 constexpr double max_hold_share = 0.5;
 constexpr double min_return_spread_ms = 100;
+// Callers return after at most a third of the time that they have left.
+constexpr double max_return_share = 1.0 / 3;
+constexpr double load_return_spread = 0.2;
+constexpr double overload_return_spread = 0.2;
+// With a larger share of refused requests, the servers stay full until the overload ends.
+constexpr double overload_share = 0.05;
+// Time constant of the average of refusals.
+constexpr double refusal_time_s = 1.5;
+// Decisions without a refusal that the average starts with, so that one refusal is no overload.
+constexpr double initial_decisions = 5;
 
 /// All servers want no requests for a while.
 admission_decision wait_for_pause(const admission_input& input, double waited_ms)
@@ -41,8 +52,34 @@
               std::chrono::milliseconds(static_cast<std::int64_t>(pause_ms + spread_ms))};
 }
 
+/// Callers return a few times only, so each return is as late as the caller accepts: an earlier one
+/// would be refused again, and a late answer is worth the same. `spread`: share of that time over
+/// which callers return.
+admission_decision return_late(const admission_input& input, double spread)
+{
+  const double latest_ms = static_cast<double>(input.time_left.count()) * max_return_share;
+  const double return_ms = latest_ms * (1 - spread * input.random_fraction);
+  return {.retry_after = std::chrono::milliseconds(static_cast<std::int64_t>(return_ms))};
+}
+
 } // namespace
 
+void refusal_average::add(bool refused, time_point now)
+{
+  const double passed = std::chrono::duration<double>(now - m_updated).count();
+  const double kept = std::exp(-passed / refusal_time_s);
+  m_refused = m_refused * kept + (refused ? 1 : 0);
+  m_decided = m_decided * kept + 1;
+  m_updated = now;
+}
+
+double refusal_average::share(time_point now) const
+{
+  const double passed = std::chrono::duration<double>(now - m_updated).count();
+  const double kept = std::exp(-passed / refusal_time_s);
+  return m_refused * kept / (m_decided * kept + initial_decisions);
+}
+
 admission_decision decide_admission(const admission_input& input)
 {
   const double objective = static_cast<double>(input.objective.count());
@@ -61,6 +98,16 @@
   {
     return wait_for_pause(input, waited);
   }
+  if (!input.first_byte_ms && input.loads_weights)
+  {
+    return return_late(input, load_return_spread);
+  }
+  // The queue that admission allows is as long in a heavy overload as in a light one; the refusals
+  // tell them apart.
+  if (input.first_byte_ms && input.refused_share > overload_share)
+  {
+    return return_late(input, overload_return_spread);
+  }
   const double wait = input.first_byte_ms ? estimate_ms - limit : outage_retry_ms;
   const double retry_ms =
       std::clamp(wait, min_retry_ms, std::min(max_retry_ms, std::max(left / 3, 1.0)));
--- a/Source/Core/Gateway/AdmissionPolicy.h
+++ b/Source/Core/Gateway/AdmissionPolicy.h
@@ -18,13 +18,32 @@
   /// Time limit of a request that has just been issued; the caller has already waited the
   /// difference to `time_left`.
   std::chrono::milliseconds time_limit{};
+  /// Without a server: the servers of the service load weights, which takes seconds.
+  bool loads_weights = false;
   /// Without a server: time until the first one that wants no requests for a while takes them
   /// again; empty if there is none.
   std::optional<std::chrono::milliseconds> pause_left;
+  /// Share of the requests for the service that were refused lately.
+  double refused_share = 0;
   /// Random number in [0, 1) that adds jitter to `retry_after`.
   double random_fraction = 0;
 };
 
+/// Share of refused requests, as an average that decays with time.
+class refusal_average
+{
+public:
+  using time_point = std::chrono::steady_clock::time_point;
+
+  void add(bool refused, time_point now);
+  double share(time_point now) const;
+
+private:
+  double m_refused = 0;
+  double m_decided = 0;
+  time_point m_updated{};
+};
+
 struct admission_decision
 {
   bool admitted = false;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -32,6 +32,7 @@
                 .pool = async_io::idle_pool(max_idle_per_server),
                 .versions = version_policy(settings.version_limit),
                 .retry_budgets = {},
+                .refusals = {},
                 .crashes = {loop, link,
                             [this]
                             {
--- a/Source/Core/Gateway/GatewayContext.h
+++ b/Source/Core/Gateway/GatewayContext.h
@@ -12,6 +12,7 @@
 #include "AsyncIo/IdlePool.h"
 #include "Common/Metrics.h"
 #include "Common/TokenBucket.h"
+#include "Gateway/AdmissionPolicy.h"
 #include "Gateway/BackendTable.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/RouteTable.h"
@@ -36,6 +37,7 @@
   async_io::idle_pool pool;
   version_policy versions;
   std::map<std::string, service_retry_budget> retry_budgets;
+  std::map<std::string, refusal_average> refusals;
   crash_detector crashes;
   /// Sends a message to all other entries.
   std::function<void(const peers::peer_message&)> tell_entries;
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -225,6 +225,7 @@
                           .objective = m_request.route->objective,
                           .time_left = time_left(),
                           .time_limit = m_context.longest_time_limit[m_request.route->name],
+                          .refused_share = m_context.refusals[m_request.service].share(now),
                           .random_fraction = m_context.random_fraction()};
     if (choice)
     {
@@ -234,8 +235,14 @@
     else
     {
       input.pause_left = m_context.backends.shortest_pause(make_choice_request(), now);
+      const auto* service = m_request.table->find_service(m_request.service);
+      input.loads_weights = service != nullptr && service->engine.has_value();
     }
     const admission_decision decision = decide_admission(input);
+    if (!decision.hold_for)
+    {
+      m_context.refusals[m_request.service].add(!decision.admitted, now);
+    }
     if (decision.hold_for)
     {
       m_retry_timer.start(*decision.hold_for, [self = shared_from_this()] { self->send_next(); });
--- a/Source/UnitTests/Gateway/DecisionsTest.cpp
+++ b/Source/UnitTests/Gateway/DecisionsTest.cpp
@@ -56,7 +56,9 @@
   CPPUNIT_TEST(budget_limits_the_retries_of_all_entries);
   CPPUNIT_TEST(events_are_forwarded_complete_and_once);
   CPPUNIT_TEST(admission_rejects_requests_that_would_be_late);
+  CPPUNIT_TEST(callers_return_late_while_no_engine_has_weights);
   CPPUNIT_TEST(old_weights_start_no_request_after_the_limit);
+  CPPUNIT_TEST(waiting_requests_are_withdrawn_before_the_limit);
   CPPUNIT_TEST(version_age_survives_a_restart);
   CPPUNIT_TEST(draining_and_removed_servers_are_not_chosen);
   CPPUNIT_TEST(server_with_expired_record_is_kept_for_a_while);
@@ -249,6 +251,43 @@
     CPPUNIT_ASSERT(!decide_admission(input).admitted);
   }
 
+  /// Guards against callers that are refused twice while the fleet loads weights after a loss of
+  /// power: they came back after 0.6 s, and most of them return only once.
+  void callers_return_late_while_no_engine_has_weights()
+  {
+    constexpr milliseconds left{6000};
+    admission_input input{.objective = milliseconds(400),
+                          .time_left = left,
+                          .time_limit = left,
+                          .loads_weights = true};
+    for (const double fraction : {0.0, 0.5, 0.99})
+    {
+      input.random_fraction = fraction;
+      const auto decision = decide_admission(input);
+      CPPUNIT_ASSERT(!decision.admitted);
+      CPPUNIT_ASSERT(decision.retry_after <= left / 3);
+      CPPUNIT_ASSERT(decision.retry_after >= left / 4);
+    }
+    // Servers without weights are usually back sooner.
+    input.loads_weights = false;
+    CPPUNIT_ASSERT(decide_admission(input).retry_after < milliseconds(1000));
+  }
+
+  void waiting_requests_are_withdrawn_before_the_limit()
+  {
+    version_policy policy(milliseconds(8000));
+    CPPUNIT_ASSERT(!policy.withdrawal_time("m", 1));
+    policy.add_version({"m", 2}, true, t0);
+    policy.add_version({"m", 3}, true, t0 + milliseconds(2000));
+    const auto oldest = policy.withdrawal_time("m", 1);
+    CPPUNIT_ASSERT(oldest);
+    CPPUNIT_ASSERT(*oldest > t0 + milliseconds(6700));
+    CPPUNIT_ASSERT(*oldest <= t0 + milliseconds(7500));
+    CPPUNIT_ASSERT(*policy.withdrawal_time("m", 2) == *oldest + milliseconds(2000));
+    CPPUNIT_ASSERT(!policy.withdrawal_time("m", 3));
+    CPPUNIT_ASSERT(!version_policy(milliseconds(0)).withdrawal_time("m", 1));
+  }
+
   void old_weights_start_no_request_after_the_limit()
   {
     version_policy policy(milliseconds(8000));
--- a/Source/UnitTests/Gateway/LoadPatternTest.cpp
+++ b/Source/UnitTests/Gateway/LoadPatternTest.cpp
@@ -2,6 +2,7 @@
 #include <cmath>
 #include <map>
 #include <numeric>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,7 @@
   CPPUNIT_TEST(idle_engine_is_not_flooded);
   CPPUNIT_TEST(load_report_applies_to_the_servers_at_its_address);
   CPPUNIT_TEST(admission_keeps_responses_on_time_at_twice_the_capacity);
+  CPPUNIT_TEST(refused_callers_return_after_a_short_overload);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,6 +167,69 @@
     CPPUNIT_ASSERT(simulate(true) >= capacity * 95 / 100);
     CPPUNIT_ASSERT(simulate(false) < capacity / 10);
   }
+
+  /// Guards against callers that are refused twice: during two seconds of overload, as while
+  /// engines load new weights, they returned after 0.12 s each, and most of them return only once.
+  void refused_callers_return_after_a_short_overload()
+  {
+    constexpr double service_ms = 50;
+    constexpr milliseconds limit(6000);
+    struct arrival
+    {
+      double sent_ms = 0;
+      bool returned = false;
+    };
+    std::multimap<double, arrival> arrivals;
+    int sent = 0;
+    for (double at = 0; at < 10000;
+         at += at >= 3000 && at < 5000 ? service_ms / 1.6 : service_ms / 0.7)
+    {
+      arrivals.emplace(at, arrival{at, false});
+      ++sent;
+    }
+    refusal_average refusals;
+    std::mt19937_64 random(1);
+    std::uniform_real_distribution<double> fraction(0, 1);
+    double free_at = 0;
+    int refused = 0;
+    int refused_again = 0;
+    int served = 0;
+    while (!arrivals.empty())
+    {
+      const auto [now, next] = *arrivals.begin();
+      arrivals.erase(arrivals.begin());
+      const time_point time = t0 + std::chrono::duration_cast<time_point::duration>(
+                                       std::chrono::duration<double, std::milli>(now));
+      const double wait = std::max(0.0, free_at - now);
+      const auto decision =
+          decide_admission({.first_byte_ms = wait + service_ms,
+                            .wait_ms = wait,
+                            .objective = milliseconds(400),
+                            .time_left = limit - milliseconds(static_cast<int>(now - next.sent_ms)),
+                            .time_limit = limit,
+                            .refused_share = refusals.share(time),
+                            .random_fraction = fraction(random)});
+      refusals.add(!decision.admitted, time);
+      if (decision.admitted)
+      {
+        free_at = std::max(free_at, now) + service_ms;
+        ++served;
+      }
+      else if (next.returned)
+      {
+        ++refused_again;
+      }
+      else
+      {
+        ++refused;
+        arrivals.emplace(now + static_cast<double>(decision.retry_after.count()),
+                         arrival{next.sent_ms, true});
+      }
+    }
+    // Half of the refused callers find room when they return.
+    CPPUNIT_ASSERT(refused_again * 2 <= refused);
+    CPPUNIT_ASSERT_EQUAL(sent, served + refused_again);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(load_pattern_test, "Gateway.LoadPattern");
