Gateway: a load report that was overtaken by a newer one is ignored

For 0.1 s an engine that drains would have counted as one that takes requests. Change: a report that was received earlier, less the time that it was held, than the one in use is dropped. Test: Gateway.LoadPattern: load_report_that_was_overtaken_is_ignored failed before.

--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -278,8 +278,14 @@
     {
       (void)add_leaving(id, backend.entry.started_ms, notice_source::agent, now);
     }
+    const time_point received = now - milliseconds(load.held_ms);
+    if (backend.load && received < backend.load_received)
+    {
+      // Reports that different entries forward may overtake each other.
+      continue;
+    }
     backend.load = load;
-    backend.load_received = now - milliseconds(load.held_ms);
+    backend.load_received = received;
     while (!backend.unreported.empty() &&
            backend.unreported.front() < backend.load_received - report_delay)
     {
--- a/Source/UnitTests/Gateway/LoadPatternTest.cpp
+++ b/Source/UnitTests/Gateway/LoadPatternTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(water_filling_equalizes_the_waits);
   CPPUNIT_TEST(idle_engine_is_not_flooded);
   CPPUNIT_TEST(load_report_applies_to_the_servers_at_its_address);
+  CPPUNIT_TEST(load_report_that_was_overtaken_is_ignored);
   CPPUNIT_TEST(admission_keeps_responses_on_time_at_twice_the_capacity);
   CPPUNIT_TEST(refused_callers_return_after_a_short_overload);
   CPPUNIT_TEST_SUITE_END();
@@ -133,6 +134,30 @@
     report("10.0.0.2:80", 5, true);
   }
 
+  /// Guards against requests to an engine that drains, after an older report of it came through
+  /// another entry.
+  void load_report_that_was_overtaken_is_ignored()
+  {
+    backend_table table(1);
+    table.set_services(
+        {{"pool", {.name = "pool", .engine = protocol::engine_speed{}, .model = "m"}}});
+    table.put({.id = "a", .service = "pool", .address = {"10.0.0.1", 80}, .weight_version = 1}, t0);
+    peers::load_message newer;
+    newer.engine = "10.0.0.1:80";
+    newer.weight_version = 1;
+    newer.loading = true;
+    newer.held_ms = 5;
+    table.update_load(newer, t0);
+    peers::load_message older = newer;
+    older.loading = false;
+    older.held_ms = 100;
+    table.update_load(older, t0 + milliseconds(2));
+    CPPUNIT_ASSERT(!table.choose({.service = "pool"}, t0 + milliseconds(2)));
+    older.held_ms = 0;
+    table.update_load(older, t0 + milliseconds(3));
+    CPPUNIT_ASSERT(table.choose({.service = "pool"}, t0 + milliseconds(3)));
+  }
+
   /// Simulates a FIFO server at twice its capacity, with and without admission control. Without it
   /// the queue grows until nearly all responses are late.
   void admission_keeps_responses_on_time_at_twice_the_capacity()
