Peers: hosts that are gone do not lengthen the time-out of others

Cause, found in the last read of the diff: the time-out of processes of other failure domains grew with all hosts that were ever listed; the store's list keeps hosts that were replaced. Change: it grows with the processes heard of within the last minute. A process that leaves no longer counts itself among the others when it decides about the list of hosts. Test: Peers: processes_that_are_gone_do_not_lengthen_the_time_out (does not compile before; by reading it would have failed with 12 s).

--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -519,8 +519,10 @@
 
 void peer_service::read_hosts_if_due()
 {
-  const std::size_t others =
-      live(peers::peer_role::entry).size() + live(peers::peer_role::agent).size() - 1;
+  const std::size_t processes =
+      live(peers::peer_role::entry).size() + live(peers::peer_role::agent).size();
+  // The lists include this process, unless it leaves.
+  const std::size_t others = processes - std::min<std::size_t>(processes, 1);
   const auto since = std::chrono::steady_clock::now() - m_hosts_read_at;
   if (!m_greeted_at || since >= peers::hosts_read_interval(others) * m_hosts_read_jitter)
   {
--- a/Source/Core/Peers/PeerTable.cpp
+++ b/Source/Core/Peers/PeerTable.cpp
@@ -126,11 +126,11 @@
 
 std::chrono::milliseconds peer_table::timeout_of(const peer_state& peer) const
 {
-  if (peer.record.domain == m_self.domain || m_peers.size() <= max_prompt_processes)
+  if (peer.record.domain == m_self.domain || m_recent <= max_prompt_processes)
   {
     return peer_timeout;
   }
-  return peer_timeout * m_peers.size() / max_prompt_processes;
+  return peer_timeout * m_recent / max_prompt_processes;
 }
 
 void peer_table::take_least_sent(std::vector<peer_state*>& candidates, std::size_t count,
@@ -154,6 +154,11 @@
   message.operator_offset = operator_offset;
   std::vector<peer_state*> same_domain;
   std::vector<peer_state*> other_domains;
+  m_recent = 0;
+  for (const auto& [ip, peer] : m_peers)
+  {
+    m_recent += peer.ever_heard && now - peer.last_heard < recent_time ? 1U : 0U;
+  }
   for (auto& [ip, peer] : m_peers)
   {
     if (is_live(peer, now))
--- a/Source/Core/Peers/PeerTable.h
+++ b/Source/Core/Peers/PeerTable.h
@@ -24,9 +24,12 @@
 constexpr std::size_t gossip_fanout = 3;
 // Eight gossip intervals: two for propagation and six for lost messages.
 constexpr std::chrono::milliseconds peer_timeout{4000};
-// Above this number of known processes, records of other failure domains take longer to arrive, and
-// their time-out grows in proportion.
+// Above this number of processes, records of other failure domains take longer to arrive, and their
+// time-out grows in proportion.
 constexpr std::size_t max_prompt_processes = 130;
+// A process that was heard of within this time counts for that. Those that are gone for good do
+// not.
+constexpr std::chrono::milliseconds recent_time{60000};
 // Keeps a datagram of 19-byte records below the usual MTU of 1,500 bytes.
 constexpr std::size_t max_records_per_message = 68;
 
@@ -103,6 +106,8 @@
   std::map<std::string, peer_state> m_peers;
   /// The lists are asked for with each request and each report, and change rarely.
   mutable std::map<peer_role, live_list> m_live;
+  /// Processes heard of lately, as of the last message.
+  std::size_t m_recent = 0;
   std::mt19937_64 m_random;
 };
 
--- a/Source/UnitTests/Peers/PeerTableTest.cpp
+++ b/Source/UnitTests/Peers/PeerTableTest.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(relaying_entries_change_over_time);
   CPPUNIT_TEST(relayed_load_reports_are_batched_and_aged);
   CPPUNIT_TEST(gossip_keeps_three_hundred_processes_live);
+  CPPUNIT_TEST(processes_that_are_gone_do_not_lengthen_the_time_out);
   CPPUNIT_TEST(greeting_is_answered_once);
   CPPUNIT_TEST(mass_greeting_stays_within_the_link_budget);
   CPPUNIT_TEST(silent_process_times_out_and_recovers);
@@ -336,6 +337,31 @@
     CPPUNIT_ASSERT(missing * 10'000 <= count * count * rounds);
   }
 
+  /// Guards against a fleet whose hosts were replaced over months and that notices lost ones later
+  /// and later.
+  void processes_that_are_gone_do_not_lengthen_the_time_out()
+  {
+    peer_table table(make_entry("10.1.0.1"), {}, 1);
+    peer_table::time_point now{};
+    for (std::size_t i = 0; i < 3 * max_prompt_processes; ++i)
+    {
+      auto gone = make_entry(make_ip(i));
+      gone.domain = 1;
+      table.merge({.peers = {gone}}, now);
+    }
+    table.make_message(0, now);
+    now += peer_timeout + milliseconds(1);
+    CPPUNIT_ASSERT_EQUAL(3 * max_prompt_processes + 1, table.live(peer_role::entry, now).size());
+    now += recent_time;
+    auto other = make_entry("10.2.0.1");
+    other.domain = 1;
+    table.merge({.peers = {other}}, now);
+    table.make_message(0, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.live(peer_role::entry, now).size());
+    now += peer_timeout + milliseconds(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.live(peer_role::entry, now).size());
+  }
+
   /// Guards against processes that need several gossip rounds to discover each other when all start
   /// at once, and against two processes that reply to each other endlessly.
   void greeting_is_answered_once()
