--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -333,17 +333,17 @@
 
 /// Load pattern: an engine whose load is late has a queue, and begins requests that were sent in
 /// time behind the time limit of its weights.
-void request_exchange::withdraw(time_point since)
+void request_exchange::withdraw(time_point due)
 {
   if (m_ended || !m_attempt || m_attempt_answered || m_head.status != 0)
   {
     return;
   }
   const auto now = std::chrono::steady_clock::now();
-  if (now - since < withdrawal_patience && !find_replacement())
+  if (now - due < withdrawal_patience && !find_replacement())
   {
     m_withdrawal_timer.start(withdrawal_recheck_interval,
-                             [self = shared_from_this(), since] { self->withdraw(since); });
+                             [self = shared_from_this(), due] { self->withdraw(due); });
     return;
   }
   m_migrating = true;
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -92,7 +92,7 @@
   /// Sets the time at which the request is taken back if its server has not begun it.
   void start_withdrawal_timer(const backend_choice& choice);
   /// Takes the request back from an engine whose weights may soon start no more requests.
-  void withdraw(time_point since);
+  void withdraw(time_point due);
   /// Moves a stream from a pipeline to an engine with all layers, if one is available.
   void leave_pipeline();
   void handle_deadline();
--- a/Source/Core/Peers/LoadPlan.cpp
+++ b/Source/Core/Peers/LoadPlan.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-// One pair of collecting entries for this many entries of a failure domain.
+// One pair of relaying entries for this many entries of a failure domain.
 constexpr std::size_t entries_per_group = 8;
-// The collecting entries change every 30 s at ten reports per second.
+// The relaying entries change every 30 s at ten reports per second.
 constexpr std::uint64_t turns_per_shift = 300;
 
 std::size_t relay_index(std::size_t members, const load_sender& sender, std::uint64_t turn)
--- a/Source/Core/Peers/LoadPlan.h
+++ b/Source/Core/Peers/LoadPlan.h
@@ -36,7 +36,7 @@
 /// second and every entry needs the reports of all agents, so the datagrams of a fleet would grow
 /// with the product of both. In a large failure domain a few entries therefore collect the reports
 /// and forward them in batches (`load_relay`). Each agent alternates between two of them, so that
-/// one that is down but not yet detected loses every second report only; the collecting entries
+/// one that is down but not yet detected loses every second report only; the relaying entries
 /// change over time. A report crosses each regional link once. `entries`: live entries, sorted by
 /// address. `turn`: number of the report. Pure.
 std::vector<load_target> plan_load_report(std::span<const peer_record> entries,
--- a/Source/Core/Peers/PeerTable.h
+++ b/Source/Core/Peers/PeerTable.h
@@ -51,8 +51,8 @@
   /// Adds a process named by another source; it counts as live only after its first gossip record.
   void add_candidate(const std::string& ip);
   /// Makes a message with the records that have been sent least often since their last update, half
-  /// of them of the own failure domain. Load pattern: a message holds a fifth of the records of 300
-  /// processes; chosen at random, one in twenty would be missing at a process for `peer_timeout`.
+  /// of them of the own failure domain. Load pattern: in a large fleet a message holds a small part
+  /// of the records; chosen at random, some would not reach a process within `peer_timeout`.
   gossip_message make_message(std::uint64_t operator_offset, time_point now);
   /// Makes a message with the record of this process only. Load pattern: after a power loss each of
   /// 170 processes greets all others and gets replies; messages with all known records would add up
