--- a/review/common/stand_in.h
+++ b/review/common/stand_in.h
@@ -112,18 +112,20 @@
   {
     return m_port;
   }
-  /// Silences the open connections on which nothing was sent for `idle` seconds; returns how many.
-  int silence_idle(double idle);
+  /// Silences the open connections on which a caller waits for an answer and nothing was sent for
+  /// `idle` seconds; returns how many.
+  int silence_waiting(double idle);
   int open_connections();
 
 private:
   struct link
   {
     std::atomic<double> last_bytes{0};
+    std::atomic<bool> awaits_answer{false};
     std::atomic<bool> silent{false};
     std::atomic<bool> open{true};
   };
-  static void pass(const std::shared_ptr<link>& state, int from, int to);
+  static void pass(const std::shared_ptr<link>& state, int from, int to, bool is_request);
 
   int m_port = 0;
   std::mutex m_mutex;
