AsyncIo: calls that have to reach the same process share a session

A server may start again between two calls at the same address, and the caller cannot tell. call_session keeps one connection for a series of calls; once it has ended, each further call fails as unavailable instead of opening another one. Test: AsyncIo.HttpCaller.

--- a/Source/Core/AsyncIo/HttpCaller.cpp
+++ b/Source/Core/AsyncIo/HttpCaller.cpp
@@ -34,6 +34,14 @@
 
 } // namespace
 
+call_session::~call_session()
+{
+  if (m_connection)
+  {
+    m_connection->close();
+  }
+}
+
 struct http_caller::state
 {
   idle_pool pool{max_idle_per_address};
@@ -60,13 +68,22 @@
 
   void begin(event_loop& loop)
   {
+    if (call.session && call.session->m_opened)
+    {
+      continue_session();
+      return;
+    }
     start_deadline(call.timeout);
-    connection = owner->pool.take(call.address);
+    connection = call.session ? nullptr : owner->pool.take(call.address);
     if (connection)
     {
       send();
       return;
     }
+    if (call.session)
+    {
+      call.session->m_opened = true;
+    }
     connection = tcp_connection::make(loop);
     connection->connect(call.address, std::min(call.connect_timeout, call.timeout),
                         [self = shared_from_this()](const result<void>& outcome)
@@ -80,6 +97,20 @@
                         });
   }
 
+  void continue_session()
+  {
+    connection = std::move(call.session->m_connection);
+    if (connection && connection->is_open())
+    {
+      start_deadline(call.timeout);
+      send();
+      return;
+    }
+    // The handler is not called before call() returns.
+    deadline.start(std::chrono::nanoseconds(0), [self = shared_from_this()]
+                   { self->finish(fail(error_code::unavailable, "session has ended")); });
+  }
+
   void start_deadline(std::chrono::nanoseconds limit)
   {
     deadline.start(limit, [self = shared_from_this()] { self->check_deadline(); });
@@ -142,7 +173,11 @@
 
   void complete(bool reusable)
   {
-    if (reusable)
+    if (reusable && call.session)
+    {
+      keep_for_session();
+    }
+    else if (reusable)
     {
       owner->pool.put(call.address, connection, idle_lifetime);
       connection = nullptr;
@@ -150,6 +185,23 @@
     finish(http_response{parser.head(), parser.take_body()});
   }
 
+  /// Bytes that arrive between two calls belong to neither.
+  void keep_for_session()
+  {
+    const std::weak_ptr<tcp_connection> weak = connection;
+    connection->start(
+        [weak](std::string_view)
+        {
+          if (const auto open = weak.lock())
+          {
+            open->close();
+          }
+        },
+        [](close_reason) {});
+    call.session->m_connection = std::move(connection);
+    connection = nullptr;
+  }
+
   void finish(result<http_response> outcome)
   {
     if (!done)
--- a/Source/Core/AsyncIo/HttpCaller.h
+++ b/Source/Core/AsyncIo/HttpCaller.h
@@ -15,6 +15,25 @@
 namespace pollenyoke::async_io
 {
 
+/// Keeps one connection for calls that have to reach the same process: the first call opens it, and
+/// once it has ended each further call fails as `unavailable`. For one call at a time.
+class call_session
+{
+public:
+  call_session() = default;
+  ~call_session();
+  call_session(const call_session&) = delete;
+  call_session& operator=(const call_session&) = delete;
+  call_session(call_session&&) = delete;
+  call_session& operator=(call_session&&) = delete;
+
+private:
+  friend class http_caller;
+
+  bool m_opened = false;
+  tcp_connection::pointer m_connection;
+};
+
 struct http_call
 {
   transport::endpoint address;
@@ -33,6 +52,8 @@
   std::uint64_t max_body_bytes = 1U << 20U;
   /// What the call is for; received bytes are counted by it. Refers to a string literal.
   std::string_view purpose = "other";
+  /// If set, the connection that the call uses.
+  std::shared_ptr<call_session> session;
 };
 
 /// Calls servers and keeps idle connections for later calls. A call is never repeated. Error codes:
