Rollout: a check of staged pieces is used only while it holds

Cause: the result of reading back was used however old it was, for whatever start of the engine, and an order that was accepted late or without an answer was not looked at again. Change: staged_check bounds the age of the check with a clock that counts suspension, a report on the same connection precedes the order, a doubtful load is read back and loaded again, and an order without an answer is repeated for the same version only.

--- /dev/null
+++ b/Source/Core/Common/BootClock.cpp
@@ -0,0 +1,15 @@
+#include "Common/BootClock.h"
+
+#include <ctime>
+
+namespace pollenyoke
+{
+
+boot_clock::time_point boot_clock::now()
+{
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+} // namespace pollenyoke
--- /dev/null
+++ b/Source/Core/Common/BootClock.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <chrono>
+
+namespace pollenyoke
+{
+
+/// A steady clock that also counts the time for which the machine was suspended.
+struct boot_clock
+{
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<boot_clock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now();
+};
+
+} // namespace pollenyoke
--- a/Source/Core/Rollout/LoadRule.cpp
+++ b/Source/Core/Rollout/LoadRule.cpp
@@ -20,9 +20,6 @@
 // The longest answers would take 2.5 s more, during which the engine could not prefill other
 // prompts. Requests still running at this point continue on other engines.
 constexpr milliseconds max_drain_time{800};
-// An order that was accepted shows in the engine's report within this time, even if its answer was
-// lost.
-constexpr milliseconds order_report_delay{1000};
 
 } // namespace
 
--- a/Source/Core/Rollout/LoadRule.h
+++ b/Source/Core/Rollout/LoadRule.h
@@ -9,6 +9,10 @@
 namespace pollenyoke::rollout
 {
 
+/// An order that was accepted shows in the engine's report within this time, even if its answer was
+/// lost.
+constexpr std::chrono::milliseconds order_report_delay{1000};
+
 /// Position of this host in the order in which the hosts of a service load a new version.
 struct load_slot
 {
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -31,6 +31,11 @@
 constexpr milliseconds origin_copy_time{1400};
 // An engine that is still idle this long after it accepted an order will not execute it.
 constexpr milliseconds order_start_timeout{2000};
+// Passes over the staged pieces per load. One that takes too long is repeated: the host may have
+// stood still.
+constexpr unsigned max_checks = 3;
+// An engine that ends its connections after each answer gets the order on one of its own.
+constexpr unsigned max_confirmations = 4;
 // An engine without weights sends no answers, so pieces may use the whole link.
 constexpr double idle_engine_uplink_cost = piece_uplink_fraction;
 // Keeps the pieces of the serving version and of the next one for hosts that join later.
@@ -136,37 +141,14 @@
   }
   m_failed_polls = 0;
   report->leaving = platform::decode_notice(answer->head).leaving;
-  const bool restarted = m_report && m_report->started_ms != report->started_ms;
-  if (restarted)
+  if (m_report && m_report->started_ms != report->started_ms)
   {
     log_info(log_category::weights, "engine restarted", {{"weights", report->weight_version}});
-    m_order_accepted_at.reset();
-    m_unanswered_order_at.reset();
-    m_draining_since.reset();
-    m_loading_version = 0;
-    m_loads_while_serving = false;
+    forget_engine_state();
   }
   m_report = std::move(*report);
-  if (m_order_accepted_at && !m_report->busy && !has_loaded() &&
-      since(*m_order_accepted_at) > order_start_timeout)
-  {
-    m_order_accepted_at.reset();
-    abort_load("engine accepted the order and does not load");
-  }
-  if (m_order_accepted_at && !m_report->busy && has_loaded())
-  {
-    log_info(log_category::weights,
-             engine_holds_all_layers() ? "engine serves the version"
-                                       : "engine serves the first layers of the version",
-             {{"version", m_report->weight_version},
-              {"after_ms", m_named_versions.contains(m_loading_version)
-                               ? since(m_named_versions.at(m_loading_version)).count()
-                               : 0}});
-    m_order_accepted_at.reset();
-    m_draining_since.reset();
-    m_loading_version = 0;
-    m_loads_while_serving = false;
-  }
+  resolve_unanswered_order();
+  update_load();
   const piece_set* ready = ready_pieces();
   if (m_draining_since && m_loading_version == 0 && !m_report->busy && engine_holds_all_layers() &&
       ready != nullptr && m_report->weight_version >= ready->version())
@@ -175,13 +157,112 @@
     m_draining_since.reset();
   }
   const bool engine_loading = m_loading_version != 0 || m_draining_since || m_report->busy;
-  publish_report(engine_loading && !m_loads_while_serving);
+  publish_report((engine_loading && !m_loads_while_serving) || m_load_in_doubt || m_spoilt_version);
   start_fetch_if_needed();
   start_load_if_due();
 }
 
+void rollout_agent::forget_engine_state()
+{
+  ++m_load_attempt;
+  m_order_in_flight = false;
+  m_order_accepted_at.reset();
+  m_unanswered_order.reset();
+  m_draining_since.reset();
+  m_loading_version = 0;
+  m_loads_while_serving = false;
+  m_load_in_doubt = false;
+  m_rechecking = false;
+  m_spoilt_version.reset();
+  m_reload_steps.clear();
+}
+
+void rollout_agent::update_load()
+{
+  if (m_spoilt_version && m_report->weight_version > *m_spoilt_version)
+  {
+    m_spoilt_version.reset();
+    m_reload_steps.clear();
+  }
+  if (!m_order_accepted_at || m_report->busy)
+  {
+    return;
+  }
+  if (m_load_in_doubt)
+  {
+    if (!m_rechecking)
+    {
+      m_rechecking = true;
+      recheck_taken_piece(pieces_for_layers(m_loading_layers, m_shape).first);
+    }
+    return;
+  }
+  if (has_loaded())
+  {
+    finish_load();
+  }
+  else if (since(*m_order_accepted_at) > order_start_timeout)
+  {
+    m_order_accepted_at.reset();
+    abort_load("engine accepted the order and does not load");
+  }
+}
+
+void rollout_agent::finish_load()
+{
+  log_info(log_category::weights,
+           engine_holds_all_layers() ? "engine serves the version"
+                                     : "engine serves the first layers of the version",
+           {{"version", m_report->weight_version},
+            {"after_ms", m_named_versions.contains(m_loading_version)
+                             ? since(m_named_versions.at(m_loading_version)).count()
+                             : 0}});
+  ++m_load_attempt;
+  m_order_accepted_at.reset();
+  m_draining_since.reset();
+  m_loading_version = 0;
+  m_loads_while_serving = false;
+  if (!m_reload_steps.empty())
+  {
+    m_reload_steps.pop_front();
+    if (m_reload_steps.empty())
+    {
+      m_spoilt_version.reset();
+    }
+  }
+}
+
+void rollout_agent::resolve_unanswered_order()
+{
+  if (!m_unanswered_order || m_order_in_flight ||
+      m_report->orders <= m_unanswered_order->expected_orders)
+  {
+    return;
+  }
+  const unanswered_order order = *m_unanswered_order;
+  m_unanswered_order.reset();
+  ++m_load_attempt;
+  m_loading_version = order.version;
+  m_loading_layers = order.layers;
+  m_loads_while_serving = false;
+  m_order_accepted_at = std::chrono::steady_clock::now();
+  m_load_in_doubt = true;
+  m_rechecking = false;
+  log_info(log_category::weights, "engine accepted a load order without an answer",
+           {{"version", order.version}});
+  if (order.restaged)
+  {
+    reload_spoilt_layers();
+  }
+}
+
 bool rollout_agent::has_loaded() const
 {
+  if (m_spoilt_version)
+  {
+    // Layers are only loaded again if the engine has dropped them before.
+    return m_report->weight_version == m_loading_version && m_report->layers == m_loading_layers;
+  }
   return m_report->weight_version > m_loading_version ||
          (m_report->weight_version == m_loading_version &&
           (!m_report->layers || m_report->layers->contains(m_loading_layers)));
@@ -266,7 +347,11 @@
 {
   while (m_fetchers.size() > kept_versions)
   {
-    const auto oldest = m_fetchers.begin();
+    auto oldest = m_fetchers.begin();
+    if (m_unanswered_order && oldest->first == m_unanswered_order->version)
+    {
+      ++oldest;
+    }
     oldest->second->stop();
     m_fetchers.erase(oldest);
   }
@@ -496,9 +581,9 @@
   {
     inputs.draining_for = since(*m_draining_since);
   }
-  if (m_unanswered_order_at)
+  if (m_unanswered_order)
   {
-    inputs.unanswered_order_age = since(*m_unanswered_order_at);
+    inputs.unanswered_order_age = since(m_unanswered_order->lost_at);
   }
   return inputs;
 }
@@ -510,6 +595,13 @@
   {
     return;
   }
+  // A newer version replaces the spoilt layers.
+  const piece_set* ready = ready_pieces();
+  if (m_spoilt_version && (ready == nullptr || ready->version() <= *m_spoilt_version))
+  {
+    reload_if_possible();
+    return;
+  }
   const load_inputs inputs = make_load_inputs();
   const protocol::layer_range all{0, m_shape.layers};
   switch (decide_load(inputs))
@@ -538,24 +630,63 @@
   }
 }
 
+void rollout_agent::reload_if_possible()
+{
+  const bool may_order =
+      !m_unanswered_order || since(m_unanswered_order->lost_at) >= order_report_delay;
+  if (!m_report->busy && may_order && !m_reload_steps.empty() &&
+      held_pieces(*m_spoilt_version, m_reload_steps.front()) != nullptr)
+  {
+    start_load(*m_spoilt_version, m_reload_steps.front());
+  }
+}
+
 void rollout_agent::start_load(std::uint64_t version, const protocol::layer_range& layers)
 {
-  m_unanswered_order_at.reset();
+  ++m_load_attempt;
   m_loading_version = version;
   m_loading_layers = layers;
+  m_checks = 0;
+  if (m_unanswered_order &&
+      held_pieces(m_unanswered_order->version, m_unanswered_order->layers) != nullptr)
+  {
+    // An order that is only delayed would load its version from the pieces of the other one, so the
+    // engine is given the same order again. It accepts one of the two.
+    m_loading_version = m_unanswered_order->version;
+    m_loading_layers = m_unanswered_order->layers;
+    m_unanswered_order->restaged = true;
+  }
   publish_report(!m_loads_while_serving);
-  stage_piece(pieces_for_layers(layers, m_shape).first);
+  stage_piece(pieces_for_layers(m_loading_layers, m_shape).first);
 }
 
-const piece_set* rollout_agent::pieces_to_stage() const
+async_io::http_caller::handler
+rollout_agent::for_current_load(async_io::http_caller::handler handle)
 {
-  const auto fetcher = m_fetchers.find(m_loading_version);
+  return [this, attempt = m_load_attempt,
+          handle = std::move(handle)](const result<async_io::http_response>& answer)
+  {
+    if (attempt == m_load_attempt)
+    {
+      handle(answer);
+    }
+  };
+}
+
+const piece_set* rollout_agent::held_pieces(std::uint64_t version,
+                                            const protocol::layer_range& layers) const
+{
+  const auto fetcher = m_fetchers.find(version);
   const piece_set* pieces = fetcher == m_fetchers.end() ? nullptr : fetcher->second->pieces();
-  const bool held =
-      pieces != nullptr && pieces->holds(pieces_for_layers(m_loading_layers, m_shape));
+  const bool held = pieces != nullptr && pieces->holds(pieces_for_layers(layers, m_shape));
   return held ? pieces : nullptr;
 }
 
+const piece_set* rollout_agent::pieces_to_stage() const
+{
+  return held_pieces(m_loading_version, m_loading_layers);
+}
+
 void rollout_agent::stage_piece(std::uint32_t piece)
 {
   const piece_set* pieces = pieces_to_stage();
@@ -567,21 +698,35 @@
   const piece_range range = pieces_for_layers(m_loading_layers, m_shape);
   if (piece == range.end)
   {
-    verify_staged_piece(range.first);
+    begin_check();
     return;
   }
   m_environment.caller.call(platform::stage_put_call(m_engine, m_model, piece, *pieces->get(piece)),
-                            [this, piece](const result<async_io::http_response>& answer)
-                            {
-                              if (!answer || answer->head.status / 100 != 2)
-                              {
-                                abort_load(answer ? "staging answered " +
-                                                        std::to_string(answer->head.status)
-                                                  : answer.error().message);
-                                return;
-                              }
-                              stage_piece(piece + 1);
-                            });
+                            for_current_load(
+                                [this, piece](const result<async_io::http_response>& answer)
+                                {
+                                  if (!answer || answer->head.status / 100 != 2)
+                                  {
+                                    abort_load(answer ? "staging answered " +
+                                                            std::to_string(answer->head.status)
+                                                      : answer.error().message);
+                                    return;
+                                  }
+                                  stage_piece(piece + 1);
+                                }));
+}
+
+void rollout_agent::begin_check()
+{
+  if (!m_report)
+  {
+    abort_load("engine does not report");
+    return;
+  }
+  ++m_checks;
+  m_confirmations = 0;
+  m_check.emplace(boot_clock::now(), m_report->started_ms);
+  verify_staged_piece(pieces_for_layers(m_loading_layers, m_shape).first);
 }
 
 /// Reads each staged piece back right before the order, as it may have been corrupted since.
@@ -589,67 +734,181 @@
 {
   if (piece == pieces_for_layers(m_loading_layers, m_shape).end)
   {
-    send_load_order();
+    confirm_engine();
     return;
   }
   m_environment.caller.call(platform::stage_get_call(m_engine, m_model, piece),
-                            [this, piece](const result<async_io::http_response>& answer)
-                            {
-                              const piece_set* pieces = pieces_to_stage();
-                              if (!answer || answer->head.status != 200 || pieces == nullptr ||
-                                  !pieces->matches(piece, answer->body))
-                              {
-                                log_warning(log_category::weights,
-                                            "staged piece differs from the manifest",
-                                            {{"version", m_loading_version}, {"piece", piece}});
-                                abort_load("staged piece is spoilt");
-                                return;
-                              }
-                              verify_staged_piece(piece + 1);
-                            });
+                            for_current_load(
+                                [this, piece](const result<async_io::http_response>& answer)
+                                {
+                                  const piece_set* pieces = pieces_to_stage();
+                                  if (!answer || answer->head.status != 200 || pieces == nullptr ||
+                                      !pieces->matches(piece, answer->body))
+                                  {
+                                    log_warning(log_category::weights,
+                                                "staged piece differs from the manifest",
+                                                {{"version", m_loading_version}, {"piece", piece}});
+                                    abort_load("staged piece is spoilt");
+                                    return;
+                                  }
+                                  verify_staged_piece(piece + 1);
+                                }));
+}
+
+/// The order follows on the same connection, so that it reaches the start of the engine that
+/// reported, and an engine that has just answered accepts it without delay.
+void rollout_agent::confirm_engine()
+{
+  ++m_confirmations;
+  auto session = std::make_shared<async_io::call_session>();
+  auto call = platform::report_call(m_engine);
+  call.timeout = poll_timeout;
+  call.session = session;
+  m_environment.caller.call(
+      std::move(call),
+      for_current_load([this, session](const result<async_io::http_response>& answer)
+                       { handle_confirmation(answer, session); }));
 }
 
-void rollout_agent::send_load_order()
+void rollout_agent::handle_confirmation(const result<async_io::http_response>& answer,
+                                        std::shared_ptr<async_io::call_session> session)
 {
-  if (!m_report)
+  if (!answer || answer->head.status != 200)
   {
     abort_load("engine does not report");
     return;
   }
+  const auto report = platform::decode_engine_report(answer->body);
+  if (!report)
+  {
+    abort_load(report.error().message);
+    return;
+  }
+  if (m_check->allows_order(report->started_ms, boot_clock::now()))
+  {
+    send_load_order(report->orders,
+                    m_confirmations < max_confirmations ? std::move(session) : nullptr);
+  }
+  else if (m_report && m_report->started_ms == report->started_ms && m_checks < max_checks)
+  {
+    log_info(log_category::weights, "staged pieces were read back too long ago",
+             {{"version", m_loading_version}, {"passes", m_checks}});
+    begin_check();
+  }
+  else
+  {
+    abort_load("staged pieces could not be read back in time");
+  }
+}
+
+void rollout_agent::send_load_order(std::uint64_t expected_orders,
+                                    std::shared_ptr<async_io::call_session> session)
+{
   const bool is_part = m_loading_layers != protocol::layer_range{0, m_shape.layers};
   const auto layers = is_part ? std::optional(m_loading_layers) : std::nullopt;
+  auto call = platform::start_call(m_engine, m_model, m_loading_version, layers, expected_orders,
+                                   m_loads_while_serving ? platform::running_work::finish
+                                                         : platform::running_work::cut);
+  call.timeout = std::min(call.timeout, m_check->order_time_limit(boot_clock::now()));
+  call.session = std::move(session);
+  m_order_in_flight = true;
   m_environment.caller.call(
-      platform::start_call(m_engine, m_model, m_loading_version, layers, m_report->orders,
-                           m_loads_while_serving ? platform::running_work::finish
-                                                 : platform::running_work::cut),
-      [this](const result<async_io::http_response>& answer)
-      {
-        if (!answer && answer.error().code != error_code::unavailable)
-        {
-          m_unanswered_order_at = std::chrono::steady_clock::now();
-          abort_load("answer to the order was lost: " + answer.error().message);
-          return;
-        }
-        if (!answer || answer->head.status / 100 != 2)
-        {
-          abort_load(answer ? "order answered " + std::to_string(answer->head.status)
-                            : answer.error().message);
-          return;
-        }
-        log_info(log_category::weights, "engine accepted the load order",
-                 {{"version", m_loading_version},
-                  {"from_layer", m_loading_layers.from},
-                  {"to_layer", m_loading_layers.to},
-                  {"status", answer->head.status},
-                  {"running", m_report ? m_report->running : 0}});
-        m_order_accepted_at = std::chrono::steady_clock::now();
-      });
+      std::move(call),
+      for_current_load([this, expected_orders](const result<async_io::http_response>& answer)
+                       { handle_order_answer(answer, expected_orders); }));
+}
+
+void rollout_agent::handle_order_answer(const result<async_io::http_response>& answer,
+                                        std::uint64_t expected_orders)
+{
+  m_order_in_flight = false;
+  if (!answer && answer.error().code == error_code::unavailable)
+  {
+    // Nothing was sent.
+    if (m_confirmations < max_confirmations)
+    {
+      confirm_engine();
+      return;
+    }
+    abort_load(answer.error().message);
+    return;
+  }
+  if (!answer)
+  {
+    m_unanswered_order = {.version = m_loading_version,
+                          .layers = m_loading_layers,
+                          .expected_orders = expected_orders,
+                          .lost_at = std::chrono::steady_clock::now()};
+    abort_load("answer to the order was lost: " + answer.error().message);
+    return;
+  }
+  if (answer->head.status / 100 != 2)
+  {
+    abort_load("order answered " + std::to_string(answer->head.status));
+    return;
+  }
+  log_info(log_category::weights, "engine accepted the load order",
+           {{"version", m_loading_version},
+            {"from_layer", m_loading_layers.from},
+            {"to_layer", m_loading_layers.to},
+            {"status", answer->head.status},
+            {"running", m_report ? m_report->running : 0}});
+  m_unanswered_order.reset();
+  m_order_accepted_at = std::chrono::steady_clock::now();
+  // The process or the engine may have stood still after the order was sent.
+  m_load_in_doubt = !m_check->covers(boot_clock::now());
+  m_rechecking = false;
+}
+
+void rollout_agent::recheck_taken_piece(std::uint32_t piece)
+{
+  if (piece == pieces_for_layers(m_loading_layers, m_shape).end)
+  {
+    log_info(log_category::weights, "engine took whole pieces", {{"version", m_loading_version}});
+    m_rechecking = false;
+    m_load_in_doubt = false;
+    return;
+  }
+  m_environment.caller.call(platform::stage_get_call(m_engine, m_model, piece),
+                            for_current_load(
+                                [this, piece](const result<async_io::http_response>& answer)
+                                {
+                                  if (!answer || answer->head.status / 100 == 5)
+                                  {
+                                    // The next report of the engine starts another pass.
+                                    m_rechecking = false;
+                                    return;
+                                  }
+                                  const piece_set* pieces = pieces_to_stage();
+                                  if (answer->head.status == 200 && pieces != nullptr &&
+                                      pieces->matches(piece, answer->body))
+                                  {
+                                    recheck_taken_piece(piece + 1);
+                                    return;
+                                  }
+                                  reload_spoilt_layers();
+                                }));
+}
+
+void rollout_agent::reload_spoilt_layers()
+{
+  log_warning(log_category::weights, "engine may have taken bad pieces and loads them again",
+              {{"version", m_loading_version}});
+  m_spoilt_version = m_loading_version;
+  const auto steps = reload_steps(m_loading_layers, m_shape.layers);
+  m_reload_steps.assign(steps.begin(), steps.end());
+  m_load_in_doubt = false;
+  m_rechecking = false;
+  m_order_accepted_at.reset();
+  ++m_load_attempt;
+  m_loading_version = 0;
 }
 
 void rollout_agent::abort_load(const std::string& reason)
 {
   log_warning(log_category::weights, "load of a version failed",
               {{"version", m_loading_version}, {"reason", reason}});
+  ++m_load_attempt;
   m_loading_version = 0;
   m_loads_while_serving = false;
 }
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -16,6 +16,7 @@
 #include "Rollout/LoadRule.h"
 #include "Rollout/PieceFetcher.h"
 #include "Rollout/SettleRule.h"
+#include "Rollout/StagedCheck.h"
 
 namespace pollenyoke::rollout
 {
@@ -57,6 +58,16 @@
                    const async_io::http_listener::responder& respond);
 
 private:
+  /// A load order without an answer. The engine may accept it at any later moment of its run.
+  struct unanswered_order
+  {
+    std::uint64_t version = 0;
+    protocol::layer_range layers;
+    std::uint64_t expected_orders = 0;
+    async_io::time_point lost_at{};
+    /// Pieces were staged again since, so that they do not show what such an order took.
+    bool restaged = false;
+  };
   struct queued_piece
   {
     std::string bytes;
@@ -92,17 +103,42 @@
   void start_load(std::uint64_t version, const protocol::layer_range& layers);
   /// Whether the engine reports the version and layers that it was ordered to load.
   bool has_loaded() const;
+  /// Forgets all that belongs to the start of the engine that has ended.
+  void forget_engine_state();
+  /// Ends the load if the engine has completed it or has not begun it in time.
+  void update_load();
+  void finish_load();
+  /// Handles an order without an answer that the engine has accepted after all.
+  void resolve_unanswered_order();
   const piece_set* ready_pieces() const;
   /// Whether the engine holds all of a version, so that pieces that this process does not hold can
   /// be read from it.
   bool engine_can_serve_pieces(std::uint64_t version) const;
   std::optional<peers::piece_announcement> own_announcement(std::uint64_t version) const;
+  /// Pieces of a version; null unless this host holds all of those layers.
+  const piece_set* held_pieces(std::uint64_t version, const protocol::layer_range& layers) const;
   /// Pieces of the version that is being staged; null if they are no longer held.
   const piece_set* pieces_to_stage() const;
   void stage_piece(std::uint32_t piece);
+  void begin_check();
   void verify_staged_piece(std::uint32_t piece);
-  void send_load_order();
+  /// Asks the engine for its state right before the order.
+  void confirm_engine();
+  void handle_confirmation(const result<async_io::http_response>& answer,
+                           std::shared_ptr<async_io::call_session> session);
+  void send_load_order(std::uint64_t expected_orders,
+                       std::shared_ptr<async_io::call_session> session);
+  void handle_order_answer(const result<async_io::http_response>& answer,
+                           std::uint64_t expected_orders);
+  /// Reads pieces back that the engine has already taken, as they may have been spoilt then.
+  void recheck_taken_piece(std::uint32_t piece);
+  /// Has the layers of the current load dropped and loaded again.
+  void reload_spoilt_layers();
+  /// Starts the next step of that, if the engine can be given an order.
+  void reload_if_possible();
   void abort_load(const std::string& reason);
+  /// A handler that does nothing once the current load has ended.
+  async_io::http_caller::handler for_current_load(async_io::http_caller::handler handle);
 
   fetch_environment m_environment;
   transport::endpoint m_engine;
@@ -133,9 +169,22 @@
   protocol::layer_range m_loading_layers;
   /// Whether the engine keeps serving during the current load.
   bool m_loads_while_serving = false;
+  /// Changes with each load, so that answers to calls of an earlier one are recognized.
+  std::uint64_t m_load_attempt = 0;
+  std::optional<staged_check> m_check;
+  unsigned m_checks = 0;
+  unsigned m_confirmations = 0;
+  bool m_order_in_flight = false;
   /// When the engine accepted the load order for that version.
   std::optional<async_io::time_point> m_order_accepted_at;
-  std::optional<async_io::time_point> m_unanswered_order_at;
+  /// The engine may have taken pieces later than the check of them allows.
+  bool m_load_in_doubt = false;
+  bool m_rechecking = false;
+  std::optional<unanswered_order> m_unanswered_order;
+  /// Version of which the engine holds layers that were made of bad pieces; no request may use it.
+  std::optional<std::uint64_t> m_spoilt_version;
+  /// Layers that it is still ordered to hold, so that it loads that version again.
+  std::deque<protocol::layer_range> m_reload_steps;
   unsigned m_failed_polls = 0;
 };
 
--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -3,7 +3,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -106,6 +108,11 @@
   CPPUNIT_TEST(restarted_engine_is_loaded_again);
   CPPUNIT_TEST(loss_of_the_engine_is_reported);
   CPPUNIT_TEST(peers_get_pieces_and_manifest);
+  CPPUNIT_TEST(pieces_checked_before_a_freeze_are_read_again);
+  CPPUNIT_TEST(check_ends_with_the_start_of_the_engine);
+  CPPUNIT_TEST(order_goes_to_the_start_of_the_engine_that_reported);
+  CPPUNIT_TEST(delayed_order_does_not_load_pieces_of_another_version);
+  CPPUNIT_TEST(engine_that_took_bad_pieces_loads_them_again);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop m_loop;
@@ -129,6 +136,18 @@
   unsigned m_origin_pieces_to_corrupt = 0;
   unsigned m_order_answers_to_lose = 0;
   bool m_engine_lost = false;
+  /// Called after the engine has answered a read of a staged piece.
+  std::function<void(std::uint32_t piece)> m_on_staged_read;
+  /// Called before the engine answers a report poll; true makes it close the connection afterwards.
+  std::function<bool()> m_on_report_poll;
+  /// Called before the engine accepts an order.
+  std::function<void()> m_on_order;
+  /// An order that the engine has received and not yet read.
+  std::optional<std::string> m_delayed_order;
+  bool m_delays_order = false;
+  /// Layers that were taken while a piece of them was bad.
+  std::set<unsigned> m_spoilt_layers;
+  bool m_spoilt_layers_offered = false;
   bool m_loading_reported = false;
   bool m_was_loading_reported = false;
   unsigned m_origin_reads = 0;
@@ -156,19 +175,28 @@
               ? ""
               : "\"layers\":{\"from\":" + std::to_string(m_engine_layers.from) +
                     ",\"to\":" + std::to_string(m_engine_layers.to) + "},";
-      return ok("{" + layers + "\"models\":[" + model +
-                "],\"busy\":false,\"sequence\":" + std::to_string(m_engine_orders) +
-                ",\"born\":" + std::to_string(m_engine_started) + "}");
+      const std::string report =
+          "{" + layers + "\"models\":[" + model +
+          "],\"busy\":false,\"sequence\":" + std::to_string(m_engine_orders) +
+          ",\"born\":" + std::to_string(m_engine_started) + "}";
+      const bool ends = m_on_report_poll && m_on_report_poll();
+      return make_response(200, "application/json", report, !ends);
     }
     if (path == "/v1/order")
     {
-      m_loaded.push_back(m_staged);
-      ++m_engine_orders;
-      m_engine_version = 2;
-      if (m_layers > 1)
+      if (m_delays_order)
       {
-        const bool first_half = body.find("\"to\":1") != std::string::npos;
-        m_engine_layers = {0, first_half ? 1U : m_layers};
+        m_delays_order = false;
+        m_delayed_order = body;
+        return {};
+      }
+      if (m_on_order)
+      {
+        m_on_order();
+      }
+      if (!accept_order(body))
+      {
+        return make_response(409, "", "", true);
       }
       if (m_order_answers_to_lose > 0)
       {
@@ -191,7 +219,59 @@
       return ok("");
     }
     CPPUNIT_ASSERT(path.starts_with("/v1/stage-get/"));
-    return m_staged.contains(piece) ? ok(m_staged[piece]) : make_response(404, "", "", true);
+    const std::string answer =
+        m_staged.contains(piece) ? ok(m_staged[piece]) : make_response(404, "", "", true);
+    if (m_on_staged_read)
+    {
+      m_on_staged_read(piece);
+    }
+    return answer;
+  }
+
+  static std::optional<std::uint64_t> number_in(const std::string& order, const std::string& name)
+  {
+    const auto at = order.find("\"" + name + "\":");
+    return at == std::string::npos ? std::nullopt
+                                   : std::optional(std::stoull(order.substr(at + name.size() + 3)));
+  }
+
+  /// Takes the staged pieces as they are, if the engine has accepted as many orders as expected.
+  bool accept_order(const std::string& order)
+  {
+    if (number_in(order, "expected") != m_engine_orders)
+    {
+      return false;
+    }
+    ++m_engine_orders;
+    m_loaded.push_back(m_staged);
+    const std::uint64_t version = number_in(order, "version").value();
+    protocol::layer_range wanted{0, m_layers};
+    if (const auto to = number_in(order, "to"))
+    {
+      wanted = {static_cast<unsigned>(number_in(order, "from").value()),
+                static_cast<unsigned>(*to)};
+    }
+    for (unsigned layer = wanted.from; layer < wanted.to; ++layer)
+    {
+      const bool held = m_engine_version == version && m_engine_layers.contains({layer, layer + 1});
+      const auto range = pieces_for_layers({layer, layer + 1}, {m_layers, piece_count});
+      for (std::uint32_t piece = range.first; !held && piece < range.end; ++piece)
+      {
+        m_spoilt_layers.erase(layer);
+        if (m_staged[piece] != piece_bytes(version, piece))
+        {
+          m_spoilt_layers.insert(layer);
+          break;
+        }
+      }
+    }
+    std::erase_if(m_spoilt_layers,
+                  [&](unsigned layer) {
+                    return !wanted.contains({layer, layer + 1});
+                  });
+    m_engine_version = version;
+    m_engine_layers = m_layers > 1 ? wanted : protocol::layer_range{};
+    return true;
   }
 
   std::string answer_origin_call(const message_head& head, const std::string& /*body*/)
@@ -304,6 +384,8 @@
             {
               m_was_loading_reported = m_was_loading_reported || loading;
               m_loading_reported = loading;
+              m_spoilt_layers_offered =
+                  m_spoilt_layers_offered || (!loading && !m_spoilt_layers.empty());
             },
             [this]
             {
@@ -429,6 +511,115 @@
     run_until([this] { return m_engine_lost; });
   }
 
+  /// Guards against a load of pieces that were read back before the host stood still and have
+  /// turned bad since.
+  void pieces_checked_before_a_freeze_are_read_again()
+  {
+    bool froze = false;
+    m_on_staged_read = [&froze, this](std::uint32_t piece)
+    {
+      if (piece == 2 && !froze)
+      {
+        froze = true;
+        m_staged[0] = "bad";
+        std::this_thread::sleep_for(seconds(4));
+      }
+    };
+    m_agent->start();
+    run_until([this] { return serves_version_2(); });
+    check_loads();
+  }
+
+  /// Guards against an order to an engine that lost its staged pieces in a restart after the last
+  /// of them had been read.
+  void check_ends_with_the_start_of_the_engine()
+  {
+    m_on_staged_read = [this](std::uint32_t piece)
+    {
+      if (piece == piece_count - 1 && m_engine_started == 1)
+      {
+        m_engine_started = 2;
+        m_staged.clear();
+      }
+    };
+    m_agent->start();
+    run_until([this] { return serves_version_2(); });
+    check_loads();
+  }
+
+  /// Guards against an order to an engine that restarts between its report and the order.
+  void order_goes_to_the_start_of_the_engine_that_reported()
+  {
+    bool all_read = false;
+    m_on_staged_read = [&all_read](std::uint32_t piece)
+    {
+      all_read = piece == piece_count - 1;
+    };
+    m_on_report_poll = [&all_read, this]
+    {
+      const bool restarts = all_read && m_engine_started == 1;
+      if (restarts)
+      {
+        m_engine_started = 2;
+        m_staged.clear();
+      }
+      return restarts;
+    };
+    m_agent->start();
+    run_until([this] { return serves_version_2(); });
+    check_loads();
+  }
+
+  /// Guards against an order that reaches the engine late, while pieces of the next version are
+  /// being staged.
+  void delayed_order_does_not_load_pieces_of_another_version()
+  {
+    m_layers = 2;
+    m_agent->set_model("m", {m_layers, piece_count});
+    m_delays_order = true;
+    m_agent->start();
+    run_until([this] { return m_delayed_order.has_value(); });
+    m_agent->add_version({"m", 3});
+    unsigned reads_since = 0;
+    m_on_staged_read = [&reads_since, this](std::uint32_t)
+    {
+      // Pieces of the next load are staged by now.
+      if (++reads_since == 1)
+      {
+        accept_order(*m_delayed_order);
+        CPPUNIT_ASSERT(m_spoilt_layers.empty());
+      }
+    };
+    run_until([this] { return m_engine_version == 3 && m_engine_layers.to == m_layers; });
+    CPPUNIT_ASSERT(reads_since > 0);
+    CPPUNIT_ASSERT(m_spoilt_layers.empty());
+  }
+
+  /// Guards against requests to an engine that stood still with an order in its queue and took
+  /// pieces that had turned bad meanwhile.
+  void engine_that_took_bad_pieces_loads_them_again()
+  {
+    m_layers = 2;
+    m_agent->set_model("m", {m_layers, piece_count});
+    bool froze = false;
+    m_on_order = [&froze, this]
+    {
+      if (!froze)
+      {
+        froze = true;
+        m_staged[0] = "bad";
+        std::this_thread::sleep_for(seconds(4));
+      }
+    };
+    m_agent->start();
+    run_until([this] { return !m_spoilt_layers.empty(); });
+    run_until(
+        [this]
+        { return m_spoilt_layers.empty() && m_engine_layers.to - m_engine_layers.from == 2; });
+    run_until([this] { return !m_loading_reported; });
+    CPPUNIT_ASSERT(!m_spoilt_layers_offered);
+  }
+
   void peers_get_pieces_and_manifest()
   {
     http_listener peer_calls(
