Gateway: a first event does not prove that its server survives the request

Cause: the first event cleared the request of suspicion, and a stream that was lost behind it was not reported. Content that only comes together was also tried again every 5 s for ever. Change: a server has survived a request when its answer is complete or events still come 0.5 s after the first; trials that fail become rare.

--- a/Source/Core/Gateway/CrashDetector.h
+++ b/Source/Core/Gateway/CrashDetector.h
@@ -39,8 +39,9 @@
 
   crash_quarantine& quarantine();
   const crash_quarantine& quarantine() const;
-  /// The connection to a server ended before the server began to answer.
+  /// The connection to a server ended before the server had shown that it survives the request.
   void add_lost_request(const backend_choice& server, const request_content& content);
+  /// A server has answered the request, or a part of it, without a crash.
   void add_answer(const request_content& content);
   /// Handles a message of another entry.
   void receive(const peers::peer_message& message);
--- a/Source/Core/Gateway/CrashQuarantine.cpp
+++ b/Source/Core/Gateway/CrashQuarantine.cpp
@@ -29,8 +29,12 @@
 // Content that is quarantined with certainty is tried again by one entry after this time, then
 // after twice as long and so on: it may have been blamed wrongly, and weights or servers change.
 constexpr milliseconds first_retrial_delay{30000};
-// Content that is always present together is tried together after this time.
+// Content that is always present together is tried together after this time, then after three times
+// as long and so on: each trial that fails costs another server, and a request that crashes servers
+// may reach them three more times only.
 constexpr milliseconds joint_trial_delay{5000};
+constexpr int joint_trial_growth = 3;
+constexpr int retrial_growth = 2;
 // An entry tells the others of the same answer at most this often.
 constexpr milliseconds tell_interval{200};
 constexpr milliseconds max_retrial_delay{3600000};
@@ -78,8 +82,8 @@
   }
   // A crash under two suspicious contents does not tell which of them caused it, so one entry tries
   // them together, and only if neither came alone for a while.
-  const milliseconds delay = entry.certain ? entry.retrial_delay : joint_trial_delay;
-  return (alone && !entry.certain) || (now - entry.last_evidence >= delay && m_owns_trial(key));
+  return (alone && !entry.certain) ||
+         (now - entry.last_evidence >= entry.retrial_delay && m_owns_trial(key));
 }
 
 content_verdict crash_quarantine::judge(const request_content& content, time_point now) const
@@ -261,8 +265,9 @@
         // Of the reports of one failed trial only the first one counts.
         if (now - known->second.last_evidence >= known->second.retrial_delay)
         {
+          const int growth = known->second.certain ? retrial_growth : joint_trial_growth;
           known->second.retrial_delay =
-              std::min(known->second.retrial_delay * 2, max_retrial_delay);
+              std::min(known->second.retrial_delay * growth, max_retrial_delay);
         }
         known->second.last_evidence = now;
       }
@@ -367,7 +372,7 @@
     log_warning(log_category::requests, "content quarantined: servers crash under it",
                 {{"content", key}, {"crashes", crashes}, {"certain", certain}});
     entry->second.last_evidence = now;
-    entry->second.retrial_delay = first_retrial_delay;
+    entry->second.retrial_delay = certain ? first_retrial_delay : joint_trial_delay;
   }
   entry->second.certain = entry->second.certain || certain;
 }
@@ -443,10 +448,13 @@
     const auto [entry, added] = m_quarantined.try_emplace(received.key);
     if (added)
     {
-      entry->second.retrial_delay = first_retrial_delay;
       log_warning(log_category::requests, "content quarantined by another entry",
                   {{"content", received.key}, {"certain", received.certain}});
     }
+    if (added || (received.certain && !entry->second.certain))
+    {
+      entry->second.retrial_delay = received.certain ? first_retrial_delay : joint_trial_delay;
+    }
     entry->second.certain = entry->second.certain || received.certain;
     entry->second.last_evidence = std::max(entry->second.last_evidence, last_evidence);
   }
--- a/Source/Core/Gateway/CrashQuarantine.h
+++ b/Source/Core/Gateway/CrashQuarantine.h
@@ -55,7 +55,7 @@
 };
 
 /// Finds out under which content of requests servers crash, from the reports of all entries. A
-/// server that begins to answer a request proves its content sound. Time is passed in. Not
+/// server that answers a request without a crash proves its content sound. Time is passed in. Not
 /// thread-safe.
 class crash_quarantine
 {
@@ -68,8 +68,8 @@
   void begin_trial(const request_content& content);
   void end_trial(const request_content& content);
 
-  /// A server has begun to answer a request. Returns the keys that were under suspicion, so that
-  /// other entries can be told.
+  /// A server has answered a request without a crash. Returns the keys that were under suspicion,
+  /// so that other entries can be told.
   std::vector<std::uint64_t> add_answer(const request_content& content, time_point now);
   /// Another entry has seen an answer.
   void add_clearance(const peers::content_clearance& clearance, time_point now);
@@ -129,7 +129,7 @@
   std::unordered_map<std::uint64_t, quarantined_content> m_quarantined;
   struct answer
   {
-    /// When an answer to a request with this content last began.
+    /// When a request with this content was last answered without a crash.
     time_point at{};
     /// This entry has seen it.
     bool own = false;
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -35,6 +35,9 @@
 // After a server was lost, a request with content that no server has answered lately waits until
 // the other entries have told under which content servers crash.
 constexpr milliseconds unproven_retry_delay = crash_settle_time + milliseconds(40);
+// A server that crashes under a request does so when it begins to write the answer, in the pass
+// that makes its first tokens; one or two events may leave it before.
+constexpr milliseconds proof_delay{500};
 // Callers of quarantined content need not return soon.
 constexpr milliseconds quarantine_retry_after{60000};
 
@@ -188,11 +191,25 @@
   refuse_quarantined();
 }
 
-void request_exchange::note_answer()
+void request_exchange::note_event()
 {
+  const auto now = std::chrono::steady_clock::now();
   if (!m_attempt_answered)
   {
     m_attempt_answered = true;
+    m_answer_begun = now;
+  }
+  if (now - m_answer_begun >= proof_delay)
+  {
+    note_proof();
+  }
+}
+
+void request_exchange::note_proof()
+{
+  if (!m_attempt_proven)
+  {
+    m_attempt_proven = true;
     m_context.crashes.add_answer(m_content);
   }
 }
@@ -278,6 +295,7 @@
   m_body.clear();
   m_relaying_events = false;
   m_attempt_answered = false;
+  m_attempt_proven = false;
   m_event_relay.start_new_response();
   m_context.backends.begin_attempt(choice, std::chrono::steady_clock::now());
   attempt_request request{
@@ -465,7 +483,7 @@
   {
     // Bytes that complete no event do not count as progress.
     restart_silence_timer();
-    note_answer();
+    note_event();
     flush_stream_head();
     m_sink.body(std::move(events));
   }
@@ -573,7 +591,7 @@
   {
     if (m_head.status < 300)
     {
-      note_answer();
+      note_proof();
     }
     m_context.backends.end_attempt(m_server, attempt_health::healthy, now);
     forward_response();
@@ -599,7 +617,7 @@
     health = attempt_health::unreachable;
   }
   m_context.backends.end_attempt(m_server, health, now, result.at_fault);
-  if (result.connection_lost && !m_attempt_answered)
+  if (result.connection_lost && !m_attempt_proven)
   {
     m_server_lost = !result.stale_connection;
     m_context.crashes.add_lost_request(m_server, m_content);
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -69,8 +69,10 @@
   void send_next();
   /// Refuses the request if its content is quarantined. Returns false if it was.
   bool check_content();
-  /// A server has begun to answer.
-  void note_answer();
+  /// The server has sent an event of its answer.
+  void note_event();
+  /// The server has survived the beginning of the request.
+  void note_proof();
   void refuse_quarantined();
   void retry();
   void end_trial();
@@ -127,7 +129,11 @@
   request_content m_content;
   /// The server of the current attempt has begun to answer.
   bool m_attempt_answered = false;
-  /// A server ended before it began to answer.
+  time_point m_answer_begun{};
+  /// The server of the current attempt has answered long enough to show that it does not crash
+  /// under the request.
+  bool m_attempt_proven = false;
+  /// A server ended when it began the request, or before.
   bool m_server_lost = false;
   bool m_in_trial = false;
   unsigned m_attempt_count = 0;
--- a/Source/UnitTests/Gateway/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Gateway/CrashQuarantineTest.cpp
@@ -247,6 +247,7 @@
   CPPUNIT_TEST(entry_that_missed_the_reports_learns_from_a_digest);
   CPPUNIT_TEST(one_entry_tries_quarantined_content_again);
   CPPUNIT_TEST(repeated_request_is_refused_as_a_whole);
+  CPPUNIT_TEST(failed_trials_of_content_that_only_comes_together_become_rare);
   CPPUNIT_TEST(tainted_part_costs_few_servers_of_a_fleet);
   CPPUNIT_TEST_SUITE_END();
 
@@ -423,6 +424,35 @@
     CPPUNIT_ASSERT(m_quarantine.judge(make({}, "other"), m_now) == content_verdict::accepted);
   }
 
+  /// Guards against a request that comes again and again, and is tried each time that it has not
+  /// crashed a server for a while.
+  void failed_trials_of_content_that_only_comes_together_become_rare()
+  {
+    // Of all that the same request reaches servers after it has crashed three of them.
+    constexpr unsigned max_trials = 3;
+    crash_quarantine owner([](std::uint64_t) { return true; });
+    const auto request = make({"f"}, "same");
+    for (const auto* server : {"s1", "s2", "s3"})
+    {
+      owner.add_own_crash(make_report(server, {request}), m_now);
+    }
+    m_now += crash_settle_time;
+    CPPUNIT_ASSERT(owner.evaluate(m_now));
+    unsigned trials = 0;
+    for (const auto end = m_now + seconds(120); m_now < end; m_now += milliseconds(500))
+    {
+      owner.evaluate(m_now);
+      if (owner.judge(request, m_now) == content_verdict::trial)
+      {
+        owner.begin_trial(request);
+        owner.end_trial(request);
+        owner.add_own_crash(make_report("t" + std::to_string(++trials), {request}), m_now);
+      }
+    }
+    CPPUNIT_ASSERT(trials > 0);
+    CPPUNIT_ASSERT(trials <= max_trials);
+  }
+
   /// Few requests with the part reach servers, however many come, and sound ones that share their
   /// other parts are served; also where some reports are lost.
   void tainted_part_costs_few_servers_of_a_fleet()
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -19,7 +19,7 @@
 {
 public:
   /// Response to one request: the bytes to write, and whether to close or reset the connection
-  /// afterwards, or to end as after a crash.
+  /// afterwards, or to end as after a crash once the bytes have left.
   struct scripted_response
   {
     std::string bytes;
@@ -29,7 +29,8 @@
   };
 
   explicit scripted_server(async_io::event_loop& loop)
-      : m_listener(loop, [this](const async_io::tcp_connection::pointer& connection)
+      : m_crash_timer(loop),
+        m_listener(loop, [this](const async_io::tcp_connection::pointer& connection)
                    { accept(connection); })
   {
     CPPUNIT_ASSERT(m_listener.listen({"127.0.0.1", 0}));
@@ -106,12 +107,14 @@
     {
       return;
     }
+    open.connection->write(next.bytes);
     if (next.crash)
     {
-      crash();
+      // A reset discards bytes that have not left yet.
+      m_crash_timer.start(std::chrono::milliseconds(next.bytes.empty() ? 0 : 10),
+                          [this] { crash(); });
       return;
     }
-    open.connection->write(next.bytes);
     if (next.reset)
     {
       open.connection->abort();
@@ -132,6 +135,7 @@
     }
   }
 
+  async_io::timer m_crash_timer;
   async_io::tcp_listener m_listener;
   std::vector<std::shared_ptr<open_connection>> m_open;
 };
