Common, AsyncIo: ages and deadlines count the time for which a machine was suspended

The steady clock stands still while a machine is suspended, so a process that goes on took what it knew, and the time that its requests had left, to be as fresh as before. Ages in platform mode are now measured with CLOCK_BOOTTIME, and timers that became due meanwhile end with the next event. No test suspends a machine; on one that has never been suspended the two clocks are the same.

--- a/Source/Core/AsyncIo/EventLoop.cpp
+++ b/Source/Core/AsyncIo/EventLoop.cpp
@@ -3,10 +3,12 @@
 #include <csignal>
 #include <vector>
 
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
+
+#include "Common/BootClock.h"
 
 namespace pollenyoke::async_io
 {
@@ -86,7 +88,8 @@
 {
   explicit state(event_loop& loop) : timer(loop.context()) {}
 
-  boost::asio::steady_timer timer;
+  // A timer that is due when the machine goes on after a suspension ends with the next event.
+  boost::asio::basic_waitable_timer<boot_clock> timer;
   std::function<void()> action;
   // Asio may have queued the handler of an earlier start when the timer is restarted.
   std::uint64_t generation = 0;
--- a/Source/Core/AsyncIo/HttpCaller.cpp
+++ b/Source/Core/AsyncIo/HttpCaller.cpp
@@ -5,6 +5,7 @@
 
 #include "AsyncIo/HttpParser.h"
 #include "AsyncIo/IdlePool.h"
+#include "Common/BootClock.h"
 
 namespace pollenyoke::async_io
 {
@@ -118,7 +119,7 @@
 
   void check_deadline()
   {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = current_time();
     if (call.transfer_timeout && parser.has_started())
     {
       const auto due =
@@ -143,7 +144,7 @@
   void receive(std::string_view data)
   {
     owner->received_bytes[call.purpose] += data.size();
-    last_received = std::chrono::steady_clock::now();
+    last_received = current_time();
     first_received = parser.has_started() ? first_received : last_received;
     parser.feed(data);
     if (parser.failure() != parse_failure::none)
--- a/Source/Core/AsyncIo/IdlePool.cpp
+++ b/Source/Core/AsyncIo/IdlePool.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Common/BootClock.h"
+
 namespace pollenyoke::async_io
 {
 
@@ -20,7 +22,7 @@
     return nullptr;
   }
   auto& list = found->second;
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   while (!list.empty())
   {
     const idle_connection last = list.back();
@@ -39,7 +41,7 @@
                     std::chrono::milliseconds lifetime)
 {
   auto& list = m_idle[address];
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   std::erase_if(list,
                 [now](const idle_connection& idle)
                 {
--- a/Source/Core/Common/BootClock.cpp
+++ b/Source/Core/Common/BootClock.cpp
@@ -12,4 +12,9 @@
   return time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
+std::chrono::steady_clock::time_point current_time()
+{
+  return std::chrono::steady_clock::time_point(boot_clock::now().time_since_epoch());
+}
+
 } // namespace pollenyoke
--- a/Source/Core/Common/BootClock.h
+++ b/Source/Core/Common/BootClock.h
@@ -17,4 +17,8 @@
   static time_point now();
 };
 
+/// The current time for ages and deadlines, as the steady clock would show it if it counted the
+/// time for which the machine was suspended.
+std::chrono::steady_clock::time_point current_time();
+
 } // namespace pollenyoke
--- a/Source/Core/Gateway/BackendAttempt.cpp
+++ b/Source/Core/Gateway/BackendAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Common/BootClock.h"
 #include "platform/Decode.h"
 #include "platform/Names.h"
 
@@ -119,7 +120,7 @@
     m_parser.expect_no_body();
   }
   m_sent = true;
-  m_sent_at = std::chrono::steady_clock::now();
+  m_sent_at = current_time();
   m_connection->start([self](std::string_view data) { self->receive(data); },
                       [self](async_io::close_reason reason) { self->connection_ended(reason); });
   m_connection->write(m_request.bytes);
@@ -256,7 +257,7 @@
     }
   }
   // A server that closes an idle connection does so before it has read the request.
-  const bool at_once = std::chrono::steady_clock::now() - m_sent_at < stale_close_time;
+  const bool at_once = current_time() - m_sent_at < stale_close_time;
   end({.stale_connection = m_reused && !m_data_received && at_once,
        .reason = m_data_received ? "connection ended within the answer"
                                  : "connection ended before the answer"});
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 #include "platform/Decode.h"
 #include "platform/Names.h"
@@ -225,7 +226,7 @@
   const async_io::message_head& head = m_parser.head();
   m_keep_alive = m_parser.keep_alive();
   m_request = {};
-  m_request.arrived = std::chrono::steady_clock::now();
+  m_request.arrived = current_time();
   m_request.labels = platform::decode_labels(head);
   m_request_id = m_request.labels.id;
   m_route_table = m_context.routes;
--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/CrashDetector.h"
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 
 namespace pollenyoke::gateway
@@ -21,7 +22,7 @@
 
 time_point now()
 {
-  return std::chrono::steady_clock::now();
+  return current_time();
 }
 
 } // namespace
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 #include "Gateway/StopPolicy.h"
 
@@ -41,10 +42,9 @@
                 .tell_entries = link.tell_entries,
                 .random = std::mt19937_64(std::random_device{}()),
                 .metrics = {},
-                .log_budget =
-                    token_bucket(log_lines_per_s, log_burst, std::chrono::steady_clock::now()),
+                .log_budget = token_bucket(log_lines_per_s, log_burst, current_time()),
                 .dropped_log_lines = 0,
-                .started = std::chrono::steady_clock::now(),
+                .started = current_time(),
                 .live_entries = std::move(counts.live),
                 .possible_entries = std::move(counts.possible),
                 .on_send = std::move(on_send),
@@ -108,27 +108,27 @@
 {
   log_info(log_category::weights, "version named",
            {{"model", version.model}, {"version", version.version}, {"witnessed", observed}});
-  m_context.versions.add_version(version, observed, std::chrono::steady_clock::now());
+  m_context.versions.add_version(version, observed, current_time());
 }
 
 void gateway::merge_version_ages(const std::vector<peers::version_age>& ages)
 {
-  m_context.versions.merge_ages(ages, std::chrono::steady_clock::now());
+  m_context.versions.merge_ages(ages, current_time());
 }
 
 std::vector<peers::version_age> gateway::version_ages() const
 {
-  return m_context.versions.ages(std::chrono::steady_clock::now());
+  return m_context.versions.ages(current_time());
 }
 
 void gateway::put_backend(const protocol::backend_entry& entry)
 {
-  m_context.backends.put(entry, std::chrono::steady_clock::now());
+  m_context.backends.put(entry, current_time());
 }
 
 void gateway::remove_backend(const std::string& id, std::optional<time_point> may_return_until)
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   const auto kept = may_return_until
                         ? std::chrono::duration_cast<milliseconds>(*may_return_until - now).count()
                         : 0;
@@ -138,7 +138,7 @@
 
 void gateway::update_load(const peers::load_message& load)
 {
-  m_context.backends.update_load(load, std::chrono::steady_clock::now());
+  m_context.backends.update_load(load, current_time());
 }
 
 void gateway::receive(const peers::peer_message& message)
@@ -153,7 +153,7 @@
 
 void gateway::add_leaving(const peers::server_leaving& leaving)
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   if (m_context.backends.add_leaving(leaving.server, leaving.started_ms, notice_source::peer, now))
   {
     m_context.metrics.add("servers_leaving_by_peer");
@@ -166,7 +166,7 @@
 
 std::optional<peers::quarantine_digest> gateway::quarantine_digest() const
 {
-  return m_context.crashes.quarantine().make_digest(std::chrono::steady_clock::now());
+  return m_context.crashes.quarantine().make_digest(current_time());
 }
 
 /// Requests that wait at a server may still be taken back before they crash it.
@@ -186,15 +186,15 @@
 
 void gateway::stop(std::function<void()> done)
 {
-  m_context.stop_started = std::chrono::steady_clock::now();
+  m_context.stop_started = current_time();
   m_on_stopped = std::move(done);
   check_stopped();
 }
 
 void gateway::check_stopped()
 {
-  const auto passed = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
-                                                               *m_context.stop_started);
+  const auto passed =
+      std::chrono::duration_cast<milliseconds>(current_time() - *m_context.stop_started);
   const bool notice_given = has_given_notice(passed);
   if (notice_given)
   {
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <random>
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 #include "Gateway/Gateway.h"
 #include "Node/OperatorRecords.h"
@@ -138,8 +139,8 @@
   std::vector<rollout::rollout_host> settled_entries()
   {
     auto entries = m_peers.relays();
-    const bool settled = m_settle.has_settled(entries.size(), m_peers.has_heard_all(),
-                                              std::chrono::steady_clock::now());
+    const bool settled =
+        m_settle.has_settled(entries.size(), m_peers.has_heard_all(), current_time());
     return settled ? std::move(entries) : std::vector<rollout::rollout_host>{};
   }
 
@@ -272,7 +273,7 @@
   state_feed::state_follower<platform::store_client> m_feed;
   gateway::gateway m_gateway;
   rollout::weight_origin m_origin;
-  rollout::settle_rule m_settle{std::chrono::steady_clock::now()};
+  rollout::settle_rule m_settle{current_time()};
   rollout::piece_relay m_relay;
   async_io::http_listener m_readiness;
   async_io::http_listener m_lookup;
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <random>
 
+#include "Common/BootClock.h"
 #include "Common/Ids.h"
 #include "Common/Log.h"
 #include "Common/Rendezvous.h"
@@ -94,7 +95,7 @@
 
 bool peer_service::is_introduced() const
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   const auto entries = live(peers::peer_role::entry);
   const bool knows_reader =
       std::any_of(entries.begin(), entries.end(),
@@ -128,20 +129,19 @@
 {
   m_table.beat();
   send_gossip();
-  const bool starting = std::chrono::steady_clock::now() - m_started < peers::fast_gossip_time;
+  const bool starting = current_time() - m_started < peers::fast_gossip_time;
   m_gossip_timer.start(starting ? peers::fast_gossip_interval : peers::gossip_interval,
                        [this] { gossip(); });
 }
 
 void peer_service::send_gossip()
 {
-  send_gossip_to(m_table.choose_targets(std::chrono::steady_clock::now()));
+  send_gossip_to(m_table.choose_targets(current_time()));
 }
 
 void peer_service::send_gossip_to(const std::vector<std::string>& hosts)
 {
-  send_to(hosts,
-          m_table.make_message(m_handlers.operator_offset(), std::chrono::steady_clock::now()));
+  send_to(hosts, m_table.make_message(m_handlers.operator_offset(), current_time()));
   send_digest_to(hosts);
 }
 
@@ -231,7 +231,7 @@
     // A process that has just started knows few others. One that could not read the list of hosts
     // is told of all.
     const bool newcomer = m_table.is_newcomer(*gossip, from.ip);
-    m_table.merge(*gossip, std::chrono::steady_clock::now());
+    m_table.merge(*gossip, current_time());
     if (newcomer && gossip->greets_all)
     {
       greet({from.ip});
@@ -305,7 +305,7 @@
     send_to_own_domain(forwarded);
     return;
   }
-  if (m_load_relay.add(load, std::chrono::steady_clock::now()))
+  if (m_load_relay.add(load, current_time()))
   {
     m_load_relay_timer.start(peers::load_batch_interval, [this] { send_load_batches(); });
   }
@@ -313,7 +313,7 @@
 
 void peer_service::send_load_batches()
 {
-  for (const peers::load_batch& batch : m_load_relay.take(std::chrono::steady_clock::now()))
+  for (const peers::load_batch& batch : m_load_relay.take(current_time()))
   {
     send_to_own_domain(batch);
   }
@@ -344,7 +344,7 @@
 
 std::span<const peers::peer_record> peer_service::live(peers::peer_role role) const
 {
-  return m_table.live(role, std::chrono::steady_clock::now());
+  return m_table.live(role, current_time());
 }
 
 std::vector<rollout::rollout_host> peer_service::relays() const
@@ -498,14 +498,14 @@
 {
   if (!m_greeted_at)
   {
-    m_greeted_at = std::chrono::steady_clock::now();
+    m_greeted_at = current_time();
     greet(m_table.others());
   }
 }
 
 void peer_service::read_hosts()
 {
-  m_hosts_read_at = std::chrono::steady_clock::now();
+  m_hosts_read_at = current_time();
   m_store.newest(state_feed::record_topic::hosts,
                  [this](const result<state_feed::record_page>& page)
                  {
@@ -523,7 +523,7 @@
       live(peers::peer_role::entry).size() + live(peers::peer_role::agent).size();
   // The lists include this process, unless it leaves.
   const std::size_t others = processes - std::min<std::size_t>(processes, 1);
-  const auto since = std::chrono::steady_clock::now() - m_hosts_read_at;
+  const auto since = current_time() - m_hosts_read_at;
   if (!m_greeted_at || since >= peers::hosts_read_interval(others) * m_hosts_read_jitter)
   {
     read_hosts();
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -10,6 +10,7 @@
 #include "AsyncIo/HttpCaller.h"
 #include "AsyncIo/HttpListener.h"
 #include "AsyncIo/UdpSocket.h"
+#include "Common/BootClock.h"
 #include "Peers/LoadRelay.h"
 #include "Peers/PeerTable.h"
 #include "Protocol/NodeSettings.h"
@@ -119,7 +120,7 @@
   async_io::timer m_gossip_timer;
   async_io::timer m_register_timer;
   async_io::timer m_hosts_timer;
-  async_io::time_point m_started = std::chrono::steady_clock::now();
+  async_io::time_point m_started = current_time();
   std::size_t m_next_source = 0;
   std::uint64_t m_load_turn = 0;
   peers::load_relay m_load_relay;
--- a/Source/Core/Node/ProcessMonitor.cpp
+++ b/Source/Core/Node/ProcessMonitor.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 
 namespace pollenyoke::node
@@ -28,7 +29,7 @@
 
 void process_monitor::start()
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   m_due = now + check_interval;
   m_traffic_due = now + traffic_interval;
   m_timer.start(check_interval, [this] { check(); });
@@ -36,7 +37,7 @@
 
 void process_monitor::check()
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   const auto delay = std::chrono::duration_cast<milliseconds>(now - m_due);
   if (delay > reported_delay)
   {
--- a/Source/Core/Rollout/PieceFetcher.cpp
+++ b/Source/Core/Rollout/PieceFetcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <random>
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 #include "Common/Rendezvous.h"
 #include "platform/Decode.h"
@@ -97,7 +98,7 @@
   {
     return;
   }
-  m_schedule->handle_announcement(ip, update.states, std::chrono::steady_clock::now());
+  m_schedule->handle_announcement(ip, update.states, current_time());
   begin_reads();
 }
 
@@ -204,8 +205,8 @@
     return;
   }
   m_pieces = std::make_unique<piece_set>(std::move(pieces));
-  m_schedule = std::make_unique<piece_schedule>(m_pieces->size(), std::random_device{}(),
-                                                std::chrono::steady_clock::now());
+  m_schedule =
+      std::make_unique<piece_schedule>(m_pieces->size(), std::random_device{}(), current_time());
   m_schedule->set_relays(relay_plan(m_relays, m_environment.region, {}));
   m_schedule->set_first_pieces(m_first_part);
   log_info(log_category::weights, "starting weight fetch",
@@ -243,7 +244,7 @@
 {
   const bool serves = !m_environment.engine_serves || m_environment.engine_serves();
   m_schedule->set_engine_serves(serves);
-  for (const piece_read& read : m_schedule->begin_reads(std::chrono::steady_clock::now()))
+  for (const piece_read& read : m_schedule->begin_reads(current_time()))
   {
     fetch(read);
   }
@@ -252,7 +253,7 @@
 
 void piece_fetcher::announce_if_due()
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   const auto since_last = now - m_announced_at;
   const bool complete = m_pieces->is_complete();
   // Other hosts need prompt announcements only while entries do not relay the pieces.
@@ -303,7 +304,7 @@
 
 void piece_fetcher::notify_relays()
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   if (now - m_relays_notified_at < relay_notification_interval)
   {
     return;
@@ -351,7 +352,7 @@
   }
   const bool already_held = m_pieces->get(read.piece) != nullptr;
   const read_outcome outcome = already_held ? read_outcome::received : store_piece(read, answer);
-  m_schedule->on_read_finished(read, outcome, std::chrono::steady_clock::now());
+  m_schedule->on_read_finished(read, outcome, current_time());
   if (outcome == read_outcome::received && !already_held)
   {
     const bool from_entry =
--- a/Source/Core/Rollout/PieceRelay.cpp
+++ b/Source/Core/Rollout/PieceRelay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 #include "Common/Rendezvous.h"
 #include "Rollout/PieceFetcher.h"
@@ -86,7 +87,7 @@
 
   void refresh_demand()
   {
-    last_demand = std::chrono::steady_clock::now();
+    last_demand = current_time();
     if (!ticking)
     {
       tick();
@@ -95,7 +96,7 @@
 
   void add_caller(waiting_caller caller)
   {
-    caller.expires = std::chrono::steady_clock::now() + max_request_hold;
+    caller.expires = current_time() + max_request_hold;
     waiting.push_back(std::move(caller));
     answer_waiting_callers();
     begin_reads();
@@ -104,7 +105,7 @@
 
   void tick()
   {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = current_time();
     ticking = !stopped && now - last_demand < demand_lifetime;
     if (!ticking)
     {
@@ -145,7 +146,7 @@
   void on_manifest_response(const result<async_io::http_response>& answer)
   {
     manifest_requested = false;
-    manifest_retry_at = std::chrono::steady_clock::now() + manifest_retry_delay;
+    manifest_retry_at = current_time() + manifest_retry_delay;
     if (stopped)
     {
       return;
@@ -176,7 +177,7 @@
       return;
     }
     pieces = std::move(*read);
-    schedule.emplace(pieces->size(), env.self, std::chrono::steady_clock::now());
+    schedule.emplace(pieces->size(), env.self, current_time());
     log_info(log_category::weights, "relaying weight pieces",
              {{"version", version}, {"pieces", pieces->size()}});
     answer_waiting_callers();
@@ -195,7 +196,7 @@
       entries = std::move(live);
       schedule->set_plan(relay_plan(entries, env.region, env.origin().region));
     }
-    for (const piece_read& read : schedule->begin_reads(std::chrono::steady_clock::now()))
+    for (const piece_read& read : schedule->begin_reads(current_time()))
     {
       fetch(read);
     }
@@ -248,7 +249,7 @@
                  {"reason", answer ? "status " + std::to_string(answer->head.status)
                                    : answer.error().message}});
     }
-    schedule->on_read_finished(read, outcome, std::chrono::steady_clock::now());
+    schedule->on_read_finished(read, outcome, current_time());
     answer_waiting_callers();
     begin_reads();
   }
@@ -257,7 +258,7 @@
   /// of range.
   void answer_waiting_callers()
   {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = current_time();
     auto callers = std::move(waiting);
     waiting.clear();
     // Entries of other regions go first, as each waits on behalf of all hosts of its region.
@@ -324,8 +325,7 @@
 
 piece_relay::piece_relay(relay_environment environment)
     : m_environment(std::move(environment)),
-      m_uplink(m_environment.uplink_bytes_per_s, uplink_burst_bytes,
-               std::chrono::steady_clock::now())
+      m_uplink(m_environment.uplink_bytes_per_s, uplink_burst_bytes, current_time())
 {
 }
 
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "AsyncIo/EventLoop.h"
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 #include "Common/Result.h"
 #include "StateFeed/FeedTiming.h"
@@ -184,7 +185,7 @@
 
   static async_io::time_point now()
   {
-    return std::chrono::steady_clock::now();
+    return current_time();
   }
 
   /// A read of the operator records can wait for ten seconds. The backend server records are read
--- a/Source/Core/StateFeed/TopicRelay.cpp
+++ b/Source/Core/StateFeed/TopicRelay.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Common/BootClock.h"
+
 namespace pollenyoke::state_feed
 {
 
@@ -22,8 +24,7 @@
 
 milliseconds topic_relay::age() const
 {
-  return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
-                                                  m_confirmed_at());
+  return std::chrono::duration_cast<milliseconds>(current_time() - m_confirmed_at());
 }
 
 bool topic_relay::is_stale() const
@@ -71,8 +72,7 @@
     return;
   }
   m_pending.push_back({request, excluded_key, std::move(respond),
-                       std::chrono::steady_clock::now() + (stale ? confirmation_wait : relay_wait),
-                       stale});
+                       current_time() + (stale ? confirmation_wait : relay_wait), stale});
   if (m_pending.size() == 1)
   {
     m_timer.start(expiry_check_interval, [this] { expire_requests(); });
@@ -98,7 +98,7 @@
 
 void topic_relay::expire_requests()
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   std::vector<pending_request> expired;
   std::erase_if(m_pending,
                 [&expired, now](const pending_request& held)
--- a/Source/UnitTests/Gateway/ServerNoticesTest.cpp
+++ b/Source/UnitTests/Gateway/ServerNoticesTest.cpp
@@ -3,6 +3,7 @@
 #include <variant>
 #include <vector>
 
+#include "Common/BootClock.h"
 #include "UnitTests/Gateway/GatewayFixture.h"
 
 namespace
@@ -192,7 +193,7 @@
     time_point answered;
     m_servers[0]->behaviour = [&answered](const auto&)
     {
-      answered = std::chrono::steady_clock::now();
+      answered = current_time();
       return scripted_server::scripted_response{full_for("0.3")};
     };
     CPPUNIT_ASSERT_EQUAL(503U, ask("/once/a").head.status);
@@ -203,7 +204,7 @@
     {
       CPPUNIT_ASSERT_EQUAL(200U, ask().head.status);
     }
-    CPPUNIT_ASSERT(std::chrono::steady_clock::now() >= earliest_end);
+    CPPUNIT_ASSERT(current_time() >= earliest_end);
   }
 
   void refusal_names_the_end_of_the_shortest_pause()
--- a/Source/UnitTests/Gateway/VersionLimitTest.cpp
+++ b/Source/UnitTests/Gateway/VersionLimitTest.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <string>
 
+#include "Common/BootClock.h"
 #include "UnitTests/Gateway/GatewayFixture.h"
 
 namespace
@@ -37,7 +38,7 @@
   void send_request(const std::string& path)
   {
     put_engine(0, 1);
-    m_named = std::chrono::steady_clock::now();
+    m_named = current_time();
     m_gateway->add_version({"m", 2}, true);
     send(request(path, "r1"));
     run_until([this] { return m_servers[0]->requests.size() == 1; });
@@ -67,7 +68,7 @@
     CPPUNIT_ASSERT_EQUAL(200U, wait_for_response().head.status);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_servers[1]->requests.size());
     CPPUNIT_ASSERT_EQUAL(1U, m_servers[0]->closed);
-    CPPUNIT_ASSERT(std::chrono::steady_clock::now() >= m_named + milliseconds(1000));
+    CPPUNIT_ASSERT(current_time() >= m_named + milliseconds(1000));
   }
 
   void waiting_request_is_taken_back_if_no_engine_has_the_new_version()
--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -7,6 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Common/BootClock.h"
 #include "StateFeed/StateFollower.h"
 
 namespace
@@ -181,10 +182,10 @@
 
   void run_until(const std::function<bool()>& condition, milliseconds limit = milliseconds(5000))
   {
-    const auto end = std::chrono::steady_clock::now() + limit;
+    const auto end = current_time() + limit;
     std::function<void()> check = [&]
     {
-      if (condition() || std::chrono::steady_clock::now() >= end)
+      if (condition() || current_time() >= end)
       {
         m_loop.stop();
         return;
