Gateway: a choice of a server that is older than its connection may take is not sent

A process that stood still between choosing a server and sending sent the request as it had been written: with the time left at the choice, and to a server of which it knew nothing newer. Such a choice is now dropped and made again. Gateway.Forwarding: request_chosen_before_a_freeze_is_not_sent_as_it_was failed before (time left not reduced).

--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 #include "Gateway/AdmissionPolicy.h"
 #include "Gateway/PriorityPolicy.h"
@@ -19,6 +20,9 @@
 
 // Connecting to a live host takes a few ms; a host without power never responds.
 constexpr milliseconds connect_timeout{250};
+// A choice that has not been sent by then was made before the process stood still: the time left
+// that the request states, and what was known of the server, are out of date.
+constexpr milliseconds choice_lifetime = connect_timeout + milliseconds(150);
 // A pipeline needs 0.2 s per event instead of 0.04 s. Most responses end within this time; a longer
 // one would reach the route's time limit.
 constexpr milliseconds pipeline_time_limit{1200};
@@ -76,8 +80,7 @@
 
 milliseconds request_exchange::time_left() const
 {
-  const auto used = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
-                                                             m_request.arrived);
+  const auto used = std::chrono::duration_cast<milliseconds>(current_time() - m_request.arrived);
   return time_limit() - used;
 }
 
@@ -109,7 +112,7 @@
   {
     return true;
   }
-  const auto since_stop = std::chrono::steady_clock::now() - *m_context.stop_started;
+  const auto since_stop = current_time() - *m_context.stop_started;
   return accepts_request({.since_stop = std::chrono::duration_cast<milliseconds>(since_stop),
                           .time_limit = time_left(),
                           .grace = m_context.settings.stop_grace});
@@ -118,10 +121,9 @@
 choice_request request_exchange::make_choice_request()
 {
   const auto* service = m_request.table->find_service(m_request.service);
-  m_minimum_version =
-      service != nullptr && service->engine
-          ? m_context.versions.minimum(service->model, std::chrono::steady_clock::now())
-          : 0;
+  m_minimum_version = service != nullptr && service->engine
+                          ? m_context.versions.minimum(service->model, current_time())
+                          : 0;
   return {.service = m_request.service,
           .prompt_tokens = m_request.labels.prompt_tokens,
           .answer_tokens = m_request.labels.answer_tokens,
@@ -134,7 +136,7 @@
 bool request_exchange::check_content()
 {
   auto& quarantine = m_context.crashes.quarantine();
-  const auto verdict = quarantine.judge(m_content, std::chrono::steady_clock::now());
+  const auto verdict = quarantine.judge(m_content, current_time());
   if (verdict == content_verdict::trial && !m_in_trial)
   {
     m_in_trial = true;
@@ -185,15 +187,14 @@
   }
   m_attempt->cancel();
   m_attempt = nullptr;
-  m_context.backends.end_attempt(m_server, attempt_health::neutral,
-                                 std::chrono::steady_clock::now());
+  m_context.backends.end_attempt(m_server, attempt_health::neutral, current_time());
   ++m_may_have_run;
   refuse_quarantined();
 }
 
 void request_exchange::note_event()
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   if (!m_attempt_answered)
   {
     m_attempt_answered = true;
@@ -216,9 +217,8 @@
 
 void request_exchange::retry()
 {
-  const bool wait =
-      m_server_lost && !m_content.parts.empty() &&
-      !m_context.crashes.quarantine().is_proven(m_content, std::chrono::steady_clock::now());
+  const bool wait = m_server_lost && !m_content.parts.empty() &&
+                    !m_context.crashes.quarantine().is_proven(m_content, current_time());
   m_server_lost = false;
   if (!wait)
   {
@@ -234,7 +234,7 @@
   {
     return;
   }
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   const auto choice = m_context.backends.choose(make_choice_request(), now);
   if (m_attempt_count == 0 || !choice)
   {
@@ -297,7 +297,7 @@
   m_attempt_answered = false;
   m_attempt_proven = false;
   m_event_relay.start_new_response();
-  m_context.backends.begin_attempt(choice, std::chrono::steady_clock::now());
+  m_context.backends.begin_attempt(choice, current_time());
   attempt_request request{
       .address = choice.address,
       .request_id = m_request.labels.id,
@@ -306,9 +306,10 @@
       .may_reuse =
           m_request.route->repeat == protocol::repeat_rule::idempotent && m_attempt_count == 1,
       .connect_timeout = std::min(connect_timeout, std::max(milliseconds(1), time_left())),
-      .may_send = [this, choice]
+      .may_send = [this, choice, chosen = current_time()]
       {
-        return m_context.backends.wants_requests(choice, std::chrono::steady_clock::now());
+        const auto now = current_time();
+        return now - chosen < choice_lifetime && m_context.backends.wants_requests(choice, now);
       }};
   const auto self = shared_from_this();
   m_attempt = std::make_shared<backend_attempt>(
@@ -344,7 +345,7 @@
     m_withdrawal_timer.cancel();
     return;
   }
-  const auto delay = std::chrono::ceil<milliseconds>(*at - std::chrono::steady_clock::now());
+  const auto delay = std::chrono::ceil<milliseconds>(*at - current_time());
   m_withdrawal_timer.start(std::max(milliseconds(1), delay),
                            [self = shared_from_this(), at = *at] { self->withdraw(at); });
 }
@@ -357,7 +358,7 @@
   {
     return;
   }
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   if (now - due < withdrawal_patience && !find_replacement())
   {
     m_withdrawal_timer.start(withdrawal_recheck_interval,
@@ -437,7 +438,7 @@
 
 void request_exchange::handle_notice(const protocol::server_notice& notice)
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   if (!notice.unreadable_pause.empty() && m_context.log_budget.try_take(1, now))
   {
     log_warning(log_category::requests, "pause of a backend server cannot be read",
@@ -499,8 +500,7 @@
   if (!m_response_started)
   {
     m_response_started = true;
-    const std::chrono::duration<double> elapsed =
-        std::chrono::steady_clock::now() - m_request.arrived;
+    const std::chrono::duration<double> elapsed = current_time() - m_request.arrived;
     m_context.metrics.record("first_event_seconds", elapsed.count());
     m_context.metrics.record("first_event_estimate_error_seconds",
                              elapsed.count() - m_server.first_byte_ms / 1000);
@@ -522,7 +522,7 @@
 /// again: otherwise an answer that would have come is cut.
 std::optional<backend_choice> request_exchange::find_replacement()
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   retry_state moved = make_retry_state(attempt_end::unknown);
   ++moved.may_have_run;
   if (!m_attempt || decide_retry(moved) != retry_action::retry ||
@@ -581,7 +581,7 @@
   m_attempt = nullptr;
   m_silence_timer.cancel();
   m_withdrawal_timer.cancel();
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   const bool server_error = result.complete && m_head.status >= 500;
   // A stream that ends with its connection is complete only if it has begun.
   const bool is_empty = result.connection_lost && !m_attempt_answered && !m_response_started;
@@ -688,8 +688,7 @@
   {
     m_attempt->cancel();
     m_attempt = nullptr;
-    m_context.backends.end_attempt(m_server, attempt_health::failed,
-                                   std::chrono::steady_clock::now());
+    m_context.backends.end_attempt(m_server, attempt_health::failed, current_time());
   }
   m_last_reason = "time limit reached";
   if (m_response_started)
@@ -710,8 +709,7 @@
   {
     m_attempt->cancel();
     m_attempt = nullptr;
-    m_context.backends.end_attempt(m_server, attempt_health::neutral,
-                                   std::chrono::steady_clock::now());
+    m_context.backends.end_attempt(m_server, attempt_health::neutral, current_time());
   }
   end_request(outcome);
 }
@@ -725,7 +723,7 @@
   m_withdrawal_timer.cancel();
   m_retry_timer.cancel();
   end_trial();
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   m_context.metrics.add("requests_" + std::string(outcome));
   if (outcome == "answered")
   {
--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <thread>
 
 #include "UnitTests/EndlessServer.h"
 #include "UnitTests/Gateway/GatewayFixture.h"
@@ -34,6 +35,7 @@
   CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
   CPPUNIT_TEST(unresponsive_server_is_aborted_at_the_deadline);
   CPPUNIT_TEST(requests_are_served_during_a_stop);
+  CPPUNIT_TEST(request_chosen_before_a_freeze_is_not_sent_as_it_was);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -350,6 +352,36 @@
     CPPUNIT_ASSERT_EQUAL(std::string("close"), *reply.head.find("Connection"));
     run_until([&] { return stopped; });
   }
+
+  /// Guards against a server that is handed time that the caller no longer has, because this
+  /// process stood still between choosing it and sending.
+  void request_chosen_before_a_freeze_is_not_sent_as_it_was()
+  {
+    static constexpr std::uint64_t frozen_ms = 1500;
+    bool froze = false;
+    m_on_send = [&froze]
+    {
+      if (!froze)
+      {
+        froze = true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(frozen_ms));
+      }
+    };
+    add_server();
+    script_all({{signed_response("r1", "x")}});
+    send(request("/safe/a", "r1", "X-Pollenyoke-Token-Count: 100,10\r\n"));
+    CPPUNIT_ASSERT_EQUAL(200U, wait_for_response().head.status);
+    for (const auto& server : m_servers)
+    {
+      for (const auto& head : server->heads)
+      {
+        std::uint64_t left = 0;
+        CPPUNIT_ASSERT(async_io::parse_number(*head.find("X-Pollenyoke-Request-Deadline"), left));
+        CPPUNIT_ASSERT(left <= 15000 - frozen_ms);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, total_requests());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(forwarding_test, "Gateway.Forwarding");
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -9,6 +9,7 @@
 
 #include "AsyncIo/HttpParser.h"
 #include "AsyncIo/TcpConnection.h"
+#include "Common/BootClock.h"
 #include "Gateway/Gateway.h"
 
 namespace pollenyoke::test
@@ -180,13 +181,15 @@
   async_io::tcp_connection::pointer m_caller;
   std::string m_received;
   bool m_ended = false;
+  /// Called when a server with a known prompt has been chosen, before it is connected to.
+  std::function<void()> m_on_send;
 
   void run_until(const std::function<bool()>& condition)
   {
-    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    const auto deadline = current_time() + std::chrono::seconds(30);
     std::function<void()> check = [&]
     {
-      if (condition() || std::chrono::steady_clock::now() > deadline)
+      if (condition() || current_time() > deadline)
       {
         m_loop.stop();
         return;
@@ -308,7 +311,13 @@
                                                                          {
                                                                            return 1;
                                                                          }},
-                                                   [](const std::string&, std::uint32_t) {});
+                                                   [this](const std::string&, std::uint32_t)
+                                                   {
+                                                     if (m_on_send)
+                                                     {
+                                                       m_on_send();
+                                                     }
+                                                   });
     CPPUNIT_ASSERT(m_gateway->listen({"127.0.0.1", 0}));
     m_gateway->set_config(make_config());
     add_server();
