Gateway, Peers: the age of a load report counts from when the agent asked its engine

Pairs of engines are formed from reports up to 0.25 s old, counted from the moment at which they were read: reports that had waited in a socket, on a slow link or at a process that stood still counted as new, and the age was not compared again when the request was sent. Reports now bear the time at which the agent asked, by its own clock; report_clock tells their age without a common clock; a pair is checked again when its request is sent.

--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -210,6 +210,24 @@
                      [&wants](const protocol::pipeline_stage& stage) { return wants(stage.id); });
 }
 
+bool backend_table::holds_layers(const backend_choice& choice, time_point now) const
+{
+  return std::all_of(choice.pipeline.begin(), choice.pipeline.end(),
+                     [this, &choice, now](const protocol::pipeline_stage& stage)
+                     {
+                       const auto known = m_servers.find(stage.id);
+                       if (known == m_servers.end() || !known->second.load)
+                       {
+                         return false;
+                       }
+                       const peers::load_message& load = *known->second.load;
+                       const protocol::layer_range held{load.part_from, load.part_to};
+                       return now - known->second.layers_confirmed < partial_report_lifetime &&
+                              load.part_version == choice.weight_version && !load.loading &&
+                              held.contains(stage.layers);
+                     });
+}
+
 std::optional<milliseconds> backend_table::shortest_pause(const choice_request& request,
                                                           time_point now) const
 {
@@ -279,13 +297,16 @@
       (void)add_leaving(id, backend.entry.started_ms, notice_source::agent, now);
     }
     const time_point received = now - milliseconds(load.held_ms);
-    if (backend.load && received < backend.load_received)
+    const auto age = load.stamp.run == 0 ? std::optional(milliseconds(load.held_ms))
+                                         : backend.report_clock.age(load.stamp, now);
+    if (!age || (backend.load && received < backend.load_received))
     {
       // Reports that different entries forward may overtake each other.
       continue;
     }
     backend.load = load;
     backend.load_received = received;
+    backend.layers_confirmed = now - std::max(*age, milliseconds(load.held_ms));
     while (!backend.unreported.empty() &&
            backend.unreported.front() < backend.load_received - report_delay)
     {
@@ -363,7 +384,7 @@
                                                    const choice_request& request,
                                                    time_point now) const
 {
-  const bool fresh = backend.load && now - backend.load_received < partial_report_lifetime;
+  const bool fresh = backend.load && now - backend.layers_confirmed < partial_report_lifetime;
   if (!fresh || backend.load->part_version == 0 ||
       backend.load->part_version < request.newest_version ||
       backend.load->part_version < request.minimum_version ||
--- a/Source/Core/Gateway/BackendTable.h
+++ b/Source/Core/Gateway/BackendTable.h
@@ -14,6 +14,7 @@
 
 #include "Gateway/ServerNotices.h"
 #include "Peers/PeerMessages.h"
+#include "Peers/ReportClock.h"
 #include "Protocol/ServingModel.h"
 
 namespace pollenyoke::gateway
@@ -128,6 +129,8 @@
                    time_point now);
   /// False if one of the servers of a choice has said since that it leaves or wants no requests.
   bool wants_requests(const backend_choice& choice, time_point now) const;
+  /// False if the engines of a pipeline are not known to hold their layers any more.
+  bool holds_layers(const backend_choice& choice, time_point now) const;
   /// Shortest time until a server that only wants no requests for a while takes them again.
   std::optional<milliseconds> shortest_pause(const choice_request& request, time_point now) const;
   std::optional<transport::endpoint> address_of(const std::string& id) const;
@@ -150,6 +153,10 @@
     unsigned in_flight = 0;
     std::optional<peers::load_message> load;
     time_point load_received{};
+    peers::report_clock report_clock;
+    /// When the engine held the layers that the last load report names; earlier than its arrival if
+    /// the report was delayed.
+    time_point layers_confirmed{};
     /// Start times of attempts that the last load report may not include.
     std::deque<time_point> unreported;
     /// Exponential moving average of the share of failed attempts.
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -309,7 +309,8 @@
       .may_send = [this, choice, chosen = current_time()]
       {
         const auto now = current_time();
-        return now - chosen < choice_lifetime && m_context.backends.wants_requests(choice, now);
+        return now - chosen < choice_lifetime && m_context.backends.wants_requests(choice, now) &&
+               m_context.backends.holds_layers(choice, now);
       }};
   const auto self = shared_from_this();
   m_attempt = std::make_shared<backend_attempt>(
--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -1,7 +1,10 @@
 #include "Node/AgentNode.h"
 
 #include <algorithm>
+#include <limits>
+#include <random>
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 #include "Common/Metrics.h"
 #include "Node/OperatorRecords.h"
@@ -68,7 +71,7 @@
             .on_version_ages = [](const std::vector<peers::version_age>&) {},
             .on_load = [](const peers::load_message&) {},
             .on_send_notice = [this](const peers::send_notice& notice)
-            { m_backlog.add(notice.prompt_tokens, std::chrono::steady_clock::now()); },
+            { m_backlog.add(notice.prompt_tokens, current_time()); },
             .on_announcement = [this](const std::string& ip, const peers::piece_announcement& news)
             { m_rollout.handle_announcement(ip, news); },
             .serve_changes = [this](const state_feed::changes_request& request,
@@ -133,11 +136,10 @@
   rollout::rollout_handlers make_rollout_handlers()
   {
     return {.on_report =
-                [this](const protocol::engine_report& report, bool loading,
-                       std::optional<std::chrono::milliseconds> load_in)
+                [this](const protocol::engine_report& report, const rollout::engine_state& state)
             {
               m_peers.set_has_engine(true);
-              send_load(report, loading, load_in);
+              send_load(report, state);
             },
             .on_engine_lost =
                 [this]
@@ -204,8 +206,7 @@
     }
   }
 
-  void send_load(const protocol::engine_report& report, bool loading,
-                 std::optional<std::chrono::milliseconds> load_in)
+  void send_load(const protocol::engine_report& report, const rollout::engine_state& state)
   {
     const bool whole =
         report.weight_version != 0 && protocol::holds_all(report.layers, m_shape.layers);
@@ -214,17 +215,22 @@
     m_peers.send_load({.engine = transport::to_string(*m_settings.engine),
                        .waiting = report.waiting,
                        .running = report.running,
-                       .unread_tokens = m_backlog.unread(std::chrono::steady_clock::now()),
+                       .unread_tokens = m_backlog.unread(current_time()),
                        .weight_version = whole ? report.weight_version : 0,
                        .part_version = part.is_empty() ? 0 : report.weight_version,
                        .part_from = part.from,
                        .part_to = part.to,
-                       .loading = loading,
+                       .loading = state.loading,
                        .leaving = report.leaving,
                        .load_in_ms = static_cast<std::uint32_t>(
-                           load_in.value_or(std::chrono::milliseconds(0)).count()),
+                           state.load_in.value_or(std::chrono::milliseconds(0)).count()),
                        .pace = static_cast<float>(report.pace),
-                       .started_ms = report.started_ms});
+                       .started_ms = report.started_ms,
+                       .stamp = {.run = m_run,
+                                 .made_ms = static_cast<std::uint32_t>(
+                                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                                         state.asked.time_since_epoch())
+                                         .count())}});
   }
 
   const protocol::node_settings& m_settings;
@@ -240,6 +246,9 @@
   std::map<std::string, std::uint64_t> m_versions;
   rollout::rollout_agent m_rollout;
   rollout::read_backlog m_backlog;
+  /// Tells the load reports of this run from those of the one before; not 0.
+  const std::uint16_t m_run = static_cast<std::uint16_t>(
+      1 + std::random_device{}() % std::numeric_limits<std::uint16_t>::max());
   metrics_registry m_metrics;
 };
 
--- a/Source/Core/Peers/PeerMessages.h
+++ b/Source/Core/Peers/PeerMessages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Common/Result.h"
+#include "Peers/ReportClock.h"
 
 namespace pollenyoke::peers
 {
@@ -119,12 +120,14 @@
   bool pass_on = false;
   /// Time that the report has waited at an entry that forwards it, in ms.
   std::uint16_t held_ms = 0;
+  /// When the agent asked the engine for what the report says.
+  report_stamp stamp;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
     archive(engine, waiting, running, unread_tokens, weight_version, part_version, part_from,
-            part_to, loading, leaving, load_in_ms, pace, started_ms, pass_on, held_ms);
+            part_to, loading, leaving, load_in_ms, pace, started_ms, pass_on, held_ms, stamp);
   }
 };
 
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 #include "platform/Decode.h"
 #include "platform/EngineCalls.h"
@@ -43,7 +44,7 @@
 
 milliseconds since(async_io::time_point time)
 {
-  return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - time);
+  return std::chrono::duration_cast<milliseconds>(current_time() - time);
 }
 
 } // namespace
@@ -53,8 +54,7 @@
     : m_environment(std::move(environment)), m_engine(std::move(engine)),
       m_handlers(std::move(handlers)), m_poll_timer(m_environment.loop),
       m_send_timer(m_environment.loop),
-      m_uplink(m_environment.uplink_bytes_per_s, uplink_burst_bytes,
-               std::chrono::steady_clock::now())
+      m_uplink(m_environment.uplink_bytes_per_s, uplink_burst_bytes, current_time())
 {
   m_environment.engine_serves = [this]
   {
@@ -84,7 +84,7 @@
 
 void rollout_agent::add_version(const protocol::named_version& version)
 {
-  if (!m_named_versions.try_emplace(version.version, std::chrono::steady_clock::now()).second)
+  if (!m_named_versions.try_emplace(version.version, current_time()).second)
   {
     return;
   }
@@ -113,6 +113,7 @@
 {
   auto call = platform::report_call(m_engine);
   call.timeout = poll_timeout;
+  m_poll_begun = boot_clock::now();
   m_environment.caller.call(std::move(call), [this](const result<async_io::http_response>& answer)
                             { handle_report(answer); });
 }
@@ -147,6 +148,7 @@
     forget_engine_state();
   }
   m_report = std::move(*report);
+  m_report_asked = m_poll_begun;
   resolve_unanswered_order();
   update_load();
   const piece_set* ready = ready_pieces();
@@ -245,7 +247,7 @@
   m_loading_version = order.version;
   m_loading_layers = order.layers;
   m_loads_while_serving = false;
-  m_order_accepted_at = std::chrono::steady_clock::now();
+  m_order_accepted_at = current_time();
   m_load_in_doubt = true;
   m_rechecking = false;
   log_info(log_category::weights, "engine accepted a load order without an answer",
@@ -305,7 +307,8 @@
     load_in = std::max(milliseconds(1),
                        planned_load_delay(make_load_plan(named->first)) - since(named->second));
   }
-  m_handlers.on_report(*m_report, loading, load_in);
+  m_handlers.on_report(*m_report,
+                       {.loading = loading, .load_in = load_in, .asked = m_report_asked});
 }
 
 bool rollout_agent::has_settled()
@@ -314,7 +317,7 @@
   const std::size_t entries = m_environment.relays ? m_environment.relays().size() : 0;
   const bool all_known = m_environment.has_heard_all && m_environment.has_heard_all();
   return m_settle.has_settled(entries > 0 ? entries : m_environment.hosts().size(), all_known,
-                              std::chrono::steady_clock::now());
+                              current_time());
 }
 
 void rollout_agent::start_fetch_if_needed()
@@ -483,7 +486,7 @@
   {
     fetcher->second->handle_announcement(ip, received);
   }
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = current_time();
   auto& last_reply = m_last_replies[ip];
   if (!received.wants_answer || now - last_reply < reply_interval)
   {
@@ -538,7 +541,7 @@
   }
   const double cost = static_cast<double>(m_send_queue.front().bytes.size()) *
                       (engine_has_weights() ? 1 : idle_engine_uplink_cost);
-  const auto wait = m_uplink.reserve(cost, std::chrono::steady_clock::now());
+  const auto wait = m_uplink.reserve(cost, current_time());
   m_send_timer.start(wait,
                      [this]
                      {
@@ -609,7 +612,7 @@
   case load_action::wait:
     return;
   case load_action::drain:
-    m_draining_since = std::chrono::steady_clock::now();
+    m_draining_since = current_time();
     log_info(log_category::weights, "draining the engine before it loads a new version",
              {{"version", inputs.ready_version},
               {"after_ms", inputs.version_age.count()},
@@ -838,7 +841,7 @@
     m_unanswered_order = {.version = m_loading_version,
                           .layers = m_loading_layers,
                           .expected_orders = expected_orders,
-                          .lost_at = std::chrono::steady_clock::now()};
+                          .lost_at = current_time()};
     abort_load("answer to the order was lost: " + answer.error().message);
     return;
   }
@@ -854,7 +857,7 @@
             {"status", answer->head.status},
             {"running", m_report ? m_report->running : 0}});
   m_unanswered_order.reset();
-  m_order_accepted_at = std::chrono::steady_clock::now();
+  m_order_accepted_at = current_time();
   // The process or the engine may have stood still after the order was sent.
   m_load_in_doubt = !m_check->covers(boot_clock::now());
   m_rechecking = false;
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -11,6 +11,7 @@
 
 #include "AsyncIo/HttpCaller.h"
 #include "AsyncIo/HttpListener.h"
+#include "Common/BootClock.h"
 #include "Common/TokenBucket.h"
 #include "Protocol/ServingModel.h"
 #include "Rollout/LoadRule.h"
@@ -21,13 +22,21 @@
 namespace pollenyoke::rollout
 {
 
+/// What the agent adds to a report of its engine.
+struct engine_state
+{
+  /// Set from just before a load order until the engine serves again.
+  bool loading = false;
+  /// Time until the planned load, if there is one.
+  std::optional<std::chrono::milliseconds> load_in;
+  /// When the engine was asked for the report.
+  boot_clock::time_point asked;
+};
+
 struct rollout_handlers
 {
-  /// Called for each report of the engine. `loading`: set from just before a load order until the
-  /// engine serves again. `load_in`: time until the planned load, if there is one.
-  std::function<void(const protocol::engine_report&, bool loading,
-                     std::optional<std::chrono::milliseconds> load_in)>
-      on_report;
+  /// Called for each report of the engine, and when what the agent does with it changes.
+  std::function<void(const protocol::engine_report&, const engine_state&)> on_report;
   /// Called once the engine has failed several polls in a row.
   std::function<void()> on_engine_lost;
 };
@@ -144,7 +153,7 @@
   transport::endpoint m_engine;
   rollout_handlers m_handlers;
   async_io::timer m_poll_timer;
-  settle_rule m_settle{std::chrono::steady_clock::now()};
+  settle_rule m_settle{current_time()};
   std::string m_model;
   weight_shape m_shape;
   /// Known versions and the time at which this host learned of each.
@@ -162,6 +171,9 @@
   token_bucket m_uplink;
   bool m_sending = false;
   std::optional<protocol::engine_report> m_report;
+  /// When the engine was asked for that report, and for the one that is on its way.
+  boot_clock::time_point m_report_asked;
+  boot_clock::time_point m_poll_begun;
   /// When entries were told to send no new requests to the engine, before it loads.
   std::optional<async_io::time_point> m_draining_since;
   /// Version and layers that are being staged and loaded; the version is 0 if there is no load.
--- a/Source/UnitTests/Gateway/PipelineTest.cpp
+++ b/Source/UnitTests/Gateway/PipelineTest.cpp
@@ -1,5 +1,6 @@
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,6 +13,7 @@
 
 using namespace pollenyoke;
 using namespace pollenyoke::gateway;
+using std::chrono::seconds;
 
 const time_point t0 = time_point{} + std::chrono::hours(1);
 constexpr unsigned layers = 16;
@@ -29,6 +31,8 @@
   CPPUNIT_TEST(complete_engines_are_preferred);
   CPPUNIT_TEST(layers_are_contiguous_and_of_one_version);
   CPPUNIT_TEST(outdated_report_of_a_partial_engine_is_ignored);
+  CPPUNIT_TEST(delayed_report_of_a_partial_engine_is_ignored);
+  CPPUNIT_TEST(pipeline_is_checked_again_before_it_is_used);
   CPPUNIT_TEST(partial_engine_with_an_older_version_is_not_used);
   CPPUNIT_TEST(record_with_some_layers_is_not_complete);
   CPPUNIT_TEST(follower_in_the_own_domain_is_preferred);
@@ -155,6 +159,51 @@
     CPPUNIT_ASSERT(!m_table.choose({.service = "pool"}, t0 + milliseconds(300)));
   }
 
+  /// Guards against a pipeline of two versions, from reports that waited while this process or one
+  /// that forwards them stood still, or on a slow link.
+  void delayed_report_of_a_partial_engine_is_ignored()
+  {
+    const auto report = [this](std::uint32_t made_ms, milliseconds read)
+    {
+      for (const auto& [id, from, to] : {std::tuple("1", 0U, 8U), std::tuple("2", 8U, 16U)})
+      {
+        auto load = partial_load(id, 2, from, to);
+        load.stamp = {.run = 7, .made_ms = made_ms};
+        m_table.update_load(load, t0 + read);
+      }
+    };
+    add_engine("1");
+    add_engine("2");
+    report(5000, milliseconds(0));
+    CPPUNIT_ASSERT(m_table.choose({.service = "pool"}, t0));
+    // Made 0.1 s later, and read 4 s later.
+    report(5100, milliseconds(4100));
+    CPPUNIT_ASSERT(!m_table.choose({.service = "pool"}, t0 + milliseconds(4100)));
+    report(9090, milliseconds(4101));
+    CPPUNIT_ASSERT(m_table.choose({.service = "pool"}, t0 + milliseconds(4101)));
+  }
+
+  /// Guards against a request that is sent on a pipeline whose engine has loaded other weights
+  /// since it was chosen.
+  void pipeline_is_checked_again_before_it_is_used()
+  {
+    add_partial_engine("1", 0, 8);
+    add_partial_engine("2", 8, 16);
+    const auto choice = m_table.choose({.service = "pool"}, t0);
+    CPPUNIT_ASSERT(m_table.holds_layers(*choice, t0));
+    CPPUNIT_ASSERT(!m_table.holds_layers(*choice, t0 + milliseconds(300)));
+    m_table.update_load(partial_load("2", 3, 8, 16), t0);
+    CPPUNIT_ASSERT(!m_table.holds_layers(*choice, t0));
+    auto loading = partial_load("2", 2, 8, 16);
+    loading.loading = true;
+    m_table.update_load(loading, t0);
+    CPPUNIT_ASSERT(!m_table.holds_layers(*choice, t0));
+    add_complete_engine("3");
+    m_table.update_load(loading, t0 + milliseconds(300));
+    const auto whole = m_table.choose({.service = "pool"}, t0 + milliseconds(300));
+    CPPUNIT_ASSERT(m_table.holds_layers(*whole, t0 + seconds(3)));
+  }
+
   /// Guards against layers that their engine replaces by a newer version while a request is in
   /// transit.
   void partial_engine_with_an_older_version_is_not_used()
--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -219,7 +219,7 @@
       return ok("");
     }
     CPPUNIT_ASSERT(path.starts_with("/v1/stage-get/"));
-    const std::string answer =
+    std::string answer =
         m_staged.contains(piece) ? ok(m_staged[piece]) : make_response(404, "", "", true);
     if (m_on_staged_read)
     {
@@ -379,18 +379,17 @@
               m_announcements[ip] = received;
             }},
         m_engine->address(),
-        rollout_handlers{
-            [this](const protocol::engine_report&, bool loading, std::optional<milliseconds>)
-            {
-              m_was_loading_reported = m_was_loading_reported || loading;
-              m_loading_reported = loading;
-              m_spoilt_layers_offered =
-                  m_spoilt_layers_offered || (!loading && !m_spoilt_layers.empty());
-            },
-            [this]
-            {
-              m_engine_lost = true;
-            }});
+        rollout_handlers{[this](const protocol::engine_report&, const engine_state& state)
+                         {
+                           m_was_loading_reported = m_was_loading_reported || state.loading;
+                           m_loading_reported = state.loading;
+                           m_spoilt_layers_offered = m_spoilt_layers_offered ||
+                                                     (!state.loading && !m_spoilt_layers.empty());
+                         },
+                         [this]
+                         {
+                           m_engine_lost = true;
+                         }});
     m_agent->set_model("m", {m_layers, piece_count});
     m_agent->add_version({"m", 2});
   }
