Emulator: loads are disturbed while staged pieces are read back, and pieces turn bad

Reproduces the users' report of WHOLE from real processes: staged pieces turn bad while an agent stands still or its engine is silent between reading back and ordering; a piece that has been bad for less than 3 s is excused, as in the rule. Tests: Emulator.Engine (two new cases).

--- a/Source/Emulator/EngineWork.cpp
+++ b/Source/Emulator/EngineWork.cpp
@@ -1,6 +1,7 @@
 #include "Emulator/EngineWork.h"
 
 #include <algorithm>
+#include <random>
 
 #include "Common/Log.h"
 #include "Emulator/AnswerContent.h"
@@ -248,10 +249,10 @@
   {
     begin_run(m_record, job);
     came.weight_version = m_version;
-    came.weight_problem = m_weight_problem;
+    came.weight_problem = weight_problem();
     for (const protocol::pipeline_stage& stage : writer.pipeline)
     {
-      const std::string& problem = m_engines.at(stage.address)->m_weight_problem;
+      const std::string problem = m_engines.at(stage.address)->weight_problem();
       came.weight_problem = problem.empty() ? came.weight_problem : problem;
     }
     std::string fields = "Content-Type: text/event-stream\r\n";
@@ -320,6 +321,7 @@
   if (request.head.method == "PUT")
   {
     m_staged[static_cast<std::uint32_t>(number)] = request.body;
+    m_spoilt_at.erase(static_cast<std::uint32_t>(number));
     reply->send(200, {}, {});
     return;
   }
@@ -340,6 +342,11 @@
     return;
   }
   reply->send(200, {}, piece->second);
+  if (m_staged_reads_left > 0 && --m_staged_reads_left == 0)
+  {
+    const auto action = std::move(m_after_staged_reads);
+    action();
+  }
 }
 
 void engine_work::answer_order(const http_request& request,
@@ -353,7 +360,7 @@
   }
   const protocol::layer_range layers =
       order->layers.value_or(protocol::layer_range{0, m_traits.layers});
-  if (m_version == order->version && holds(layers))
+  if (m_version == order->version && m_layers == layers)
   {
     reply->send(200, {}, {});
     return;
@@ -364,7 +371,7 @@
     return;
   }
   ++m_orders;
-  m_load = load{*order, layers, find_staging_problem(order->version, layers)};
+  m_load = take_staged(*order, layers);
   reply->send(202, {}, {});
   // More layers of the same version load beside the work.
   if (m_version == order->version || order->cuts_running_work)
@@ -385,10 +392,28 @@
   start_pass();
 }
 
-std::string engine_work::find_staging_problem(std::uint64_t version,
-                                              const protocol::layer_range& layers) const
+engine_work::load engine_work::take_staged(const load_order& order,
+                                           const protocol::layer_range& layers) const
+{
+  load out{.order = order, .layers = layers, .taken_layers = 0, .problems = {}};
+  for (unsigned layer = layers.from; layer < layers.to; ++layer)
+  {
+    if (m_version == order.version && holds({layer, layer + 1}))
+    {
+      continue;
+    }
+    ++out.taken_layers;
+    if (auto problem = find_staging_problem(order.version, layer); !problem.empty())
+    {
+      out.problems[layer] = std::move(problem);
+    }
+  }
+  return out;
+}
+
+std::string engine_work::find_staging_problem(std::uint64_t version, unsigned layer) const
 {
-  const auto [first, last] = pieces_of_layers(m_traits, layers);
+  const auto [first, last] = pieces_of_layers(m_traits, {layer, layer + 1});
   for (std::uint32_t number = first; number < last; ++number)
   {
     const auto piece = m_staged.find(number);
@@ -396,14 +421,30 @@
     {
       return "layers were loaded without piece " + std::to_string(number);
     }
-    if (piece->second != make_piece(version, number, m_traits.piece_bytes))
+    if (piece->second == make_piece(version, number, m_traits.piece_bytes))
+    {
+      continue;
+    }
+    const auto spoilt = m_spoilt_at.find(number);
+    if (spoilt == m_spoilt_at.end())
     {
       return "layers were loaded from a wrong piece " + std::to_string(number);
     }
+    const auto age = duration_cast<std::chrono::milliseconds>(steady_clock::now() - spoilt->second);
+    if (age > m_traits.spoilage_tolerance)
+    {
+      return "layers were loaded from piece " + std::to_string(number) +
+             ", which had been bad for " + std::to_string(age.count()) + " ms";
+    }
   }
   return {};
 }
 
+std::string engine_work::weight_problem() const
+{
+  return m_layer_problems.empty() ? std::string() : m_layer_problems.begin()->second;
+}
+
 void engine_work::begin_load()
 {
   if (!m_load || m_loading)
@@ -411,8 +452,7 @@
     return;
   }
   m_loading = true;
-  const double share =
-      static_cast<double>(m_load->layers.to - m_load->layers.from) / m_traits.layers;
+  const double share = static_cast<double>(m_load->taken_layers) / m_traits.layers;
   if (m_load->order.version != m_version)
   {
     m_version = 0;
@@ -424,11 +464,16 @@
 void engine_work::finish_load()
 {
   const load done = *m_load;
-  const bool adds = m_version == done.order.version && !m_layers.is_empty();
-  m_weight_problem = adds && done.problem.empty() ? m_weight_problem : done.problem;
-  m_layers = adds ? protocol::layer_range{std::min(m_layers.from, done.layers.from),
-                                          std::max(m_layers.to, done.layers.to)}
-                  : done.layers;
+  if (m_version != done.order.version)
+  {
+    m_layer_problems.clear();
+  }
+  std::erase_if(m_layer_problems,
+                [&done](const auto& item) {
+                  return !done.layers.contains({item.first, item.first + 1});
+                });
+  m_layer_problems.insert(done.problems.begin(), done.problems.end());
+  m_layers = done.layers;
   m_version = done.order.version;
   m_load.reset();
   m_loading = false;
@@ -449,7 +494,7 @@
   m_in_pass = false;
   m_version = 0;
   m_layers = {};
-  m_weight_problem.clear();
+  m_layer_problems.clear();
   m_orders = 0;
   // The next instance must not have the start of this one.
   m_started_ms = std::max(unix_ms(), m_started_ms + 1);
@@ -458,6 +503,27 @@
 void engine_work::lose_staged()
 {
   m_staged.clear();
+  m_spoilt_at.clear();
+}
+
+void engine_work::spoil_staged(double share, std::uint64_t random)
+{
+  std::mt19937_64 draw(random);
+  for (auto& [number, content] : m_staged)
+  {
+    const bool drawn = std::uniform_real_distribution<double>(0, 1)(draw) < share;
+    if (drawn && !content.empty() && !m_spoilt_at.contains(number))
+    {
+      content.front() = static_cast<char>(content.front() ^ 1);
+      m_spoilt_at[number] = steady_clock::now();
+    }
+  }
+}
+
+void engine_work::after_staged_reads(unsigned count, std::function<void()> action)
+{
+  m_staged_reads_left = count;
+  m_after_staged_reads = std::move(action);
 }
 
 void engine_work::set_slowness(double factor)
--- a/Source/Emulator/EngineWork.h
+++ b/Source/Emulator/EngineWork.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -31,6 +32,14 @@
   void lose_power();
   /// Loses the staged pieces as well.
   void lose_staged();
+  /// Some staged pieces turn bad: each one that the share of `random` selects.
+  void spoil_staged(double share, std::uint64_t random);
+  /// Called once, when the engine has handed out this many staged pieces.
+  void after_staged_reads(unsigned count, std::function<void()> action);
+  unsigned piece_count() const
+  {
+    return m_traits.pieces;
+  }
   /// Multiplies the time of each pass.
   void set_slowness(double factor);
 
@@ -45,12 +54,16 @@
     unsigned priority = 5;
     std::uint64_t version = 0;
   };
+  /// What is wrong with layers, by their number.
+  using layer_problems = std::map<unsigned, std::string>;
   struct load
   {
     load_order order;
+    /// Layers that the engine holds afterwards.
     protocol::layer_range layers;
-    /// What is wrong with the pieces that were staged when the order was accepted.
-    std::string problem;
+    /// Those that it takes from the staged pieces, and how they were when the order was accepted.
+    unsigned taken_layers = 0;
+    layer_problems problems;
   };
 
   bool holds(const protocol::layer_range& layers) const;
@@ -60,8 +73,10 @@
   engine_state current_state() const;
   void answer_stage(const http_request& request, const std::shared_ptr<http_reply>& reply);
   void answer_order(const http_request& request, const std::shared_ptr<http_reply>& reply);
-  std::string find_staging_problem(std::uint64_t version,
-                                   const protocol::layer_range& layers) const;
+  load take_staged(const load_order& order, const protocol::layer_range& layers) const;
+  /// Empty if the pieces of the layer are whole, or have turned bad only lately.
+  std::string find_staging_problem(std::uint64_t version, unsigned layer) const;
+  std::string weight_problem() const;
   void begin_load();
   void finish_load();
   void drop(const std::shared_ptr<server_job>& job);
@@ -78,9 +93,12 @@
   const engine_directory& m_engines;
   std::uint64_t m_started_ms = 0;
   std::map<std::uint32_t, std::string> m_staged;
+  std::map<std::uint32_t, std::chrono::steady_clock::time_point> m_spoilt_at;
+  unsigned m_staged_reads_left = 0;
+  std::function<void()> m_after_staged_reads;
   protocol::layer_range m_layers;
   std::uint64_t m_version = 0;
-  std::string m_weight_problem;
+  layer_problems m_layer_problems;
   std::uint64_t m_orders = 0;
   std::optional<load> m_load;
   bool m_loading = false;
--- a/Source/Emulator/FaultInjector.cpp
+++ b/Source/Emulator/FaultInjector.cpp
@@ -84,6 +84,7 @@
     {fault_kind::impatient_callers, &fault_injector::make_callers_impatient},
     {fault_kind::server_wants_pause, &fault_injector::begin_server_pause},
     {fault_kind::server_silent, &fault_injector::silence_server},
+    {fault_kind::load_disturbed, &fault_injector::disturb_load},
 };
 
 fault_injector::fault_injector(async_io::event_loop& loop, platform_run& run,
@@ -315,6 +316,38 @@
   choose_server(fault).fall_silent(duration_cast<milliseconds>(to_time(length)));
 }
 
+void fault_injector::disturb_load(const planned_fault& fault)
+{
+  // Pieces turn bad after the agent has read them, and before it goes on.
+  constexpr double spoilt_after_s = 0.1;
+  auto& engine = *m_run.engines()[fault.choice % m_run.engines().size()];
+  const auto& machines = m_run.where().machines;
+  const auto host =
+      std::find_if(machines.begin(), machines.end(),
+                   [&engine](const machine& of) { return of.ip == engine.address().ip; });
+  const unsigned reads = 1 + static_cast<unsigned>(fault.choice / 16) % engine.work().piece_count();
+  const bool is_silent = fault.choice / 8 % 2 == 0;
+  engine.work().after_staged_reads(
+      reads,
+      [this, &engine, name = host->name, fault, is_silent]
+      {
+        log_info(log_category::process, "load disturbed",
+                 {{"server", engine.id()}, {"machine", name}, {"engine_silent", is_silent}});
+        if (is_silent)
+        {
+          disturb(engine.id(), fault.duration);
+          engine.fall_silent(duration_cast<milliseconds>(to_time(fault.duration)));
+        }
+        else
+        {
+          m_run.processes().pause(name, to_time(fault.duration));
+        }
+        after(spoilt_after_s,
+              [&engine, fault] { engine.work().spoil_staged(fault.share, fault.choice); });
+      });
+  m_run.operations().name_next_weights();
+}
+
 void fault_injector::set_link_faults(const planned_fault& fault,
                                      const stand_ins::relay_faults& faults)
 {
--- a/Source/Emulator/FaultInjector.h
+++ b/Source/Emulator/FaultInjector.h
@@ -68,6 +68,7 @@
   void make_callers_impatient(const planned_fault& fault);
   void begin_server_pause(const planned_fault& fault);
   void silence_server(const planned_fault& fault);
+  void disturb_load(const planned_fault& fault);
 
   void set_link_faults(const planned_fault& fault, const stand_ins::relay_faults& faults);
   void trouble_server(backend_server& server, const planned_fault& fault);
--- a/Source/Emulator/FaultPlan.cpp
+++ b/Source/Emulator/FaultPlan.cpp
@@ -27,6 +27,9 @@
 // Sound servers ask for pauses, fall silent and leave beside all other faults. They are drawn by
 // themselves, so that the other faults of a seed stay as they were.
 constexpr double mean_notice_gap_s = 2.5;
+// So are disturbed loads. Each of them names new weights; those before should be in use by then.
+constexpr double mean_load_gap_s = 12;
+constexpr std::uint64_t load_stream = 0xd1b54a32d192ed03U;
 constexpr std::uint64_t notice_stream = 0x9e3779b97f4a7c15U;
 constexpr std::array notice_kinds{fault_kind::server_wants_pause, fault_kind::server_silent,
                                   fault_kind::replace_server};
@@ -39,7 +42,7 @@
   unsigned weight;
 };
 
-constexpr std::array<named_fault, 30> faults = {{
+constexpr std::array<named_fault, 31> faults = {{
     {fault_kind::kill_processes, "kill_processes", 4},
     {fault_kind::kill_all, "kill_all", 0},
     {fault_kind::stop_process, "stop_process", 4},
@@ -70,6 +73,7 @@
     {fault_kind::impatient_callers, "impatient_callers", 1},
     {fault_kind::server_wants_pause, "server_wants_pause", 0},
     {fault_kind::server_silent, "server_silent", 0},
+    {fault_kind::load_disturbed, "load_disturbed", 0},
 }};
 
 } // namespace
@@ -103,8 +107,21 @@
          .share = fraction(random) * max_share,
          .choice = random()});
   }
-  std::stable_sort(plan.begin(), plan.end(),
-                   [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+}
+
+void add_disturbed_loads(std::vector<planned_fault>& plan, std::uint64_t seed, double last)
+{
+  std::mt19937_64 random(seed ^ load_stream);
+  std::exponential_distribution<double> gap(1 / mean_load_gap_s);
+  std::uniform_real_distribution<double> fraction(0, 1);
+  for (double at = first_fault_s + gap(random); at < last; at += gap(random))
+  {
+    plan.push_back({.kind = fault_kind::load_disturbed,
+                    .at = at,
+                    .duration = max_duration_s * (1 - fraction(random) / 4),
+                    .share = fraction(random) * max_share,
+                    .choice = random()});
+  }
 }
 
 } // namespace
@@ -138,6 +155,9 @@
               : std::exponential_distribution<double>(1 / mean_gap_s)(random);
   }
   add_notices(plan, seed, last);
+  add_disturbed_loads(plan, seed, last);
+  std::stable_sort(plan.begin(), plan.end(),
+                   [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
   if (loses_all)
   {
     plan.push_back({.kind = fault_kind::kill_all, .at = last, .choice = random()});
--- a/Source/Emulator/FaultPlan.h
+++ b/Source/Emulator/FaultPlan.h
@@ -42,6 +42,9 @@
   impatient_callers,
   server_wants_pause,
   server_silent,
+  /// An agent stands still, or its engine falls silent, while it reads staged pieces back; some of
+  /// them turn bad.
+  load_disturbed,
 };
 
 struct planned_fault
--- a/Source/Emulator/PlatformMessages.h
+++ b/Source/Emulator/PlatformMessages.h
@@ -29,6 +29,8 @@
   unsigned pieces = 48;
   std::uint32_t piece_bytes = 4096;
   std::chrono::milliseconds load_time{300};
+  /// How long a staged piece may have been spoilt when an order takes it.
+  std::chrono::milliseconds spoilage_tolerance{3000};
 };
 
 /// A configuration as the operator writes it.
--- a/Source/UnitTests/Emulator/EngineTest.cpp
+++ b/Source/UnitTests/Emulator/EngineTest.cpp
@@ -1,6 +1,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -26,6 +27,8 @@
   CPPUNIT_TEST(request_is_answered_whole);
   CPPUNIT_TEST(engine_without_weights_refuses);
   CPPUNIT_TEST(staged_pieces_are_loaded_as_they_are);
+  CPPUNIT_TEST(pieces_that_turned_bad_lately_are_excused);
+  CPPUNIT_TEST(engine_holds_the_layers_that_the_order_names);
   CPPUNIT_TEST(order_with_an_old_number_is_refused);
   CPPUNIT_TEST(crash_ends_requests_and_forgets_weights);
   CPPUNIT_TEST(troubles_are_seen_by_the_caller);
@@ -160,6 +163,57 @@
                          m_record.arrival_at(1).weight_problem);
   }
 
+  void pieces_that_turned_bad_lately_are_excused()
+  {
+    m_traits.spoilage_tolerance = std::chrono::minutes(5);
+    const auto lenient = make_engine(1);
+    m_traits.spoilage_tolerance = milliseconds(0);
+    const auto strict = make_engine(1);
+    for (auto* engine : {lenient.get(), strict.get()})
+    {
+      stage(*engine, 2);
+      engine->work().spoil_staged(1, 1);
+      std::this_thread::sleep_for(milliseconds(5));
+      CPPUNIT_ASSERT_EQUAL(202U, order(*engine, 2, 0));
+      wait_for_version(*engine, 2);
+      (void)send(*engine);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_record.arrival_at(0).weight_problem);
+    CPPUNIT_ASSERT(m_record.arrival_at(1).weight_problem.find("had been bad") != std::string::npos);
+    // A piece that is staged again is whole.
+    stage(*strict, 3);
+    CPPUNIT_ASSERT_EQUAL(202U, order(*strict, 3, 1));
+    wait_for_version(*strict, 3);
+    (void)send(*strict);
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_record.arrival_at(2).weight_problem);
+  }
+
+  /// Guards against spoilt layers that stay although the engine was ordered to drop them.
+  void engine_holds_the_layers_that_the_order_names()
+  {
+    const auto engine = make_engine(1);
+    stage(*engine, 3);
+    CPPUNIT_ASSERT_EQUAL(202U, order(*engine, 2, 0));
+    wait_for_version(*engine, 2);
+    stage(*engine, 2);
+    const unsigned half = m_traits.layers / 2;
+    std::uint64_t orders = 1;
+    for (const protocol::layer_range layers :
+         {protocol::layer_range{0, half}, protocol::layer_range{half, m_traits.layers},
+          protocol::layer_range{0, m_traits.layers}})
+    {
+      const auto answer = call(platform::start_call(engine->address(), "m1", 2, layers, orders++,
+                                                    platform::running_work::finish));
+      CPPUNIT_ASSERT_EQUAL(202U, answer->head.status);
+      while (report(*engine).busy)
+      {
+      }
+      CPPUNIT_ASSERT(report(*engine).layers == layers);
+    }
+    (void)send(*engine);
+    CPPUNIT_ASSERT_EQUAL(std::string(), m_record.arrival_at(0).weight_problem);
+  }
+
   void order_with_an_old_number_is_refused()
   {
     const auto engine = make_engine(1);
