Rollout: a restart of the engine is noticed although it did not report meanwhile

After 0.5 s without a report the agent forgot which start of the engine it knew, so that an engine that came back later counted as the same one: an unanswered order of the start before was repeated before a newer version was loaded. Rollout.Agent: restart_during_an_outage_ends_an_unanswered_order failed before (2 orders instead of 1).

--- a/Source/Core/AsyncIo/HttpCaller.cpp
+++ b/Source/Core/AsyncIo/HttpCaller.cpp
@@ -176,7 +176,9 @@
   {
     if (reusable && call.session)
     {
-      keep_for_session();
+      connection->wait_idle();
+      call.session->m_connection = std::move(connection);
+      connection = nullptr;
     }
     else if (reusable)
     {
@@ -186,23 +188,6 @@
     finish(http_response{parser.head(), parser.take_body()});
   }
 
-  /// Bytes that arrive between two calls belong to neither.
-  void keep_for_session()
-  {
-    const std::weak_ptr<tcp_connection> weak = connection;
-    connection->start(
-        [weak](std::string_view)
-        {
-          if (const auto open = weak.lock())
-          {
-            open->close();
-          }
-        },
-        [](close_reason) {});
-    call.session->m_connection = std::move(connection);
-    connection = nullptr;
-  }
-
   void finish(result<http_response> outcome)
   {
     if (!done)
--- a/Source/Core/AsyncIo/IdlePool.cpp
+++ b/Source/Core/AsyncIo/IdlePool.cpp
@@ -57,16 +57,7 @@
     connection->close();
     return;
   }
-  const std::weak_ptr<tcp_connection> weak = connection;
-  connection->start(
-      [weak](std::string_view)
-      {
-        if (const auto open = weak.lock())
-        {
-          open->close();
-        }
-      },
-      [](close_reason) {});
+  connection->wait_idle();
   list.push_back({connection, now + lifetime});
 }
 
--- a/Source/Core/AsyncIo/TcpConnection.cpp
+++ b/Source/Core/AsyncIo/TcpConnection.cpp
@@ -148,6 +148,20 @@
   wait_readable();
 }
 
+void tcp_connection::wait_idle()
+{
+  const std::weak_ptr<tcp_connection> weak = shared_from_this();
+  start(
+      [weak](std::string_view)
+      {
+        if (const auto open = weak.lock())
+        {
+          open->close();
+        }
+      },
+      [](close_reason) {});
+}
+
 void tcp_connection::wait_readable()
 {
   if (m_state->reading || !m_state->open)
--- a/Source/Core/AsyncIo/TcpConnection.h
+++ b/Source/Core/AsyncIo/TcpConnection.h
@@ -40,6 +40,9 @@
                std::function<void(result<void>)> done);
   /// Starts reading.
   void start(data_handler on_data, close_handler on_close);
+  /// Reads only to notice the end of a connection that no message is expected on: bytes that arrive
+  /// close it.
+  void wait_idle();
   void write(std::string data);
   /// Called each time all queued bytes have been passed to the kernel.
   void set_sent_handler(std::function<void()> handler);
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -142,11 +142,12 @@
   }
   m_failed_polls = 0;
   report->leaving = platform::decode_notice(answer->head).leaving;
-  if (m_report && m_report->started_ms != report->started_ms)
+  if (m_engine_started_ms != 0 && m_engine_started_ms != report->started_ms)
   {
     log_info(log_category::weights, "engine restarted", {{"weights", report->weight_version}});
     forget_engine_state();
   }
+  m_engine_started_ms = report->started_ms;
   m_report = std::move(*report);
   m_report_asked = m_poll_begun;
   resolve_unanswered_order();
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -170,7 +170,10 @@
   async_io::timer m_send_timer;
   token_bucket m_uplink;
   bool m_sending = false;
+  /// Empty while the engine does not report.
   std::optional<protocol::engine_report> m_report;
+  /// Start of the engine that reported last; 0 before the first report.
+  std::uint64_t m_engine_started_ms = 0;
   /// When the engine was asked for that report, and for the one that is on its way.
   boot_clock::time_point m_report_asked;
   boot_clock::time_point m_poll_begun;
--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -113,6 +113,7 @@
   CPPUNIT_TEST(order_goes_to_the_start_of_the_engine_that_reported);
   CPPUNIT_TEST(delayed_order_does_not_load_pieces_of_another_version);
   CPPUNIT_TEST(engine_that_took_bad_pieces_loads_them_again);
+  CPPUNIT_TEST(restart_during_an_outage_ends_an_unanswered_order);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop m_loop;
@@ -140,6 +141,7 @@
   std::function<void(std::uint32_t piece)> m_on_staged_read;
   /// Called before the engine answers a report poll; true makes it close the connection afterwards.
   std::function<bool()> m_on_report_poll;
+  std::function<unsigned()> m_report_status;
   /// Called before the engine accepts an order.
   std::function<void()> m_on_order;
   /// An order that the engine has received and not yet read.
@@ -180,7 +182,8 @@
           "],\"busy\":false,\"sequence\":" + std::to_string(m_engine_orders) +
           ",\"born\":" + std::to_string(m_engine_started) + "}";
       const bool ends = m_on_report_poll && m_on_report_poll();
-      return make_response(200, "application/json", report, !ends);
+      const unsigned status = m_report_status ? m_report_status() : 200;
+      return make_response(status, "application/json", report, !ends);
     }
     if (path == "/v1/order")
     {
@@ -594,6 +597,32 @@
     CPPUNIT_ASSERT(m_spoilt_layers.empty());
   }
 
+  /// Guards against an order of an earlier start of the engine that is repeated for the next one:
+  /// it cannot arrive there.
+  void restart_during_an_outage_ends_an_unanswered_order()
+  {
+    bool is_down = false;
+    m_delays_order = true;
+    m_on_report_poll = [&is_down]
+    {
+      return is_down;
+    };
+    m_report_status = [&is_down]
+    {
+      return is_down ? 503U : 200U;
+    };
+    m_agent->start();
+    run_until([this] { return m_delayed_order.has_value(); });
+    is_down = true;
+    m_agent->add_version({"m", 3});
+    run_until([this] { return m_engine_lost; });
+    m_engine_started = 2;
+    m_staged.clear();
+    is_down = false;
+    run_until([this] { return m_engine_version == 3; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_loaded.size());
+  }
+
   /// Guards against requests to an engine that stood still with an order in its queue and took
   /// pieces that had turned bad meanwhile.
   void engine_that_took_bad_pieces_loads_them_again()
