--- a/Source/Core/AsyncIo/EventLoop.cpp
+++ b/Source/Core/AsyncIo/EventLoop.cpp
@@ -88,7 +88,7 @@
 {
   explicit state(event_loop& loop) : timer(loop.context()) {}
 
-  // A timer that is due when the machine goes on after a suspension ends with the next event.
+  // Counts suspension: a timer that became due meanwhile fires with the next event of the loop.
   boost::asio::basic_waitable_timer<boot_clock> timer;
   std::function<void()> action;
   // Asio may have queued the handler of an earlier start when the timer is restarted.
--- a/Source/Core/AsyncIo/TcpConnection.h
+++ b/Source/Core/AsyncIo/TcpConnection.h
@@ -40,8 +40,8 @@
                std::function<void(result<void>)> done);
   /// Starts reading.
   void start(data_handler on_data, close_handler on_close);
-  /// Reads only to notice the end of a connection that no message is expected on: bytes that arrive
-  /// close it.
+  /// Waits for the peer to close while no message is expected. Bytes that arrive all the same close
+  /// the connection.
   void wait_idle();
   void write(std::string data);
   /// Called each time all queued bytes have been passed to the kernel.
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -20,8 +20,8 @@
 
 // Connecting to a live host takes a few ms; a host without power never responds.
 constexpr milliseconds connect_timeout{250};
-// A choice that has not been sent by then was made before the process stood still: the time left
-// that the request states, and what was known of the server, are out of date.
+// An older choice was made before the process stood still. A server may be told at most half a
+// second more than the caller has left, and the request states the time left at the choice.
 constexpr milliseconds choice_lifetime = connect_timeout + milliseconds(150);
 // A pipeline needs 0.2 s per event instead of 0.04 s. Most responses end within this time; a longer
 // one would reach the route's time limit.
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -187,7 +187,9 @@
   /// Changes with each load, so that answers to calls of an earlier one are recognized.
   std::uint64_t m_load_attempt = 0;
   std::optional<staged_check> m_check;
+  /// Passes over the staged pieces in the current load.
   unsigned m_checks = 0;
+  /// Reports that were asked for since the last of these passes.
   unsigned m_confirmations = 0;
   bool m_order_in_flight = false;
   /// When the engine accepted the load order for that version.
