Gateway: the limits that servers name are logged

Entries now read the field from each answer, log a limit once when it is named, changed or withdrawn, and a value that cannot be read. No choice depends on it yet. Of answers that may have overtaken each other the newer one counts, and the lower limit where that cannot be told.

Test: Platform.Decode limits_of_servers.

--- a/Source/Core/Gateway/BackendAttempt.cpp
+++ b/Source/Core/Gateway/BackendAttempt.cpp
@@ -221,7 +221,7 @@
 {
   const protocol::server_notice notice = platform::decode_notice(head);
   m_reusable = m_reusable && !notice.leaving;
-  if (notice.leaving || notice.pause || !notice.unreadable_pause.empty())
+  if (notice.leaving || notice.pause || !notice.unreadable_pause.empty() || notice.names_limit())
   {
     m_handlers.on_notice(notice);
   }
--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -197,6 +197,28 @@
   return true;
 }
 
+bool backend_table::name_limit(const std::string& id, std::uint64_t started_ms, double per_second,
+                               time_point asked, time_point now)
+{
+  if (!m_notices.name_limit(id, started_ms, per_second, asked, now))
+  {
+    return false;
+  }
+  log_info(log_category::requests, "backend server names a limit",
+           {{"server", id}, {"requests_per_s", per_second}});
+  return true;
+}
+
+bool backend_table::end_limit(const std::string& id, std::uint64_t started_ms, time_point asked)
+{
+  if (!m_notices.end_limit(id, started_ms, asked))
+  {
+    return false;
+  }
+  log_info(log_category::requests, "backend server names no limit any more", {{"server", id}});
+  return true;
+}
+
 bool backend_table::wants_requests(const backend_choice& choice, time_point now) const
 {
   const auto wants = [this, now](const std::string& id)
--- a/Source/Core/Gateway/BackendTable.h
+++ b/Source/Core/Gateway/BackendTable.h
@@ -127,6 +127,10 @@
   /// The server wants no requests for `length`. Returns false if that was known.
   bool begin_pause(const std::string& id, std::uint64_t started_ms, milliseconds length,
                    time_point now);
+  /// See server_notices.
+  bool name_limit(const std::string& id, std::uint64_t started_ms, double per_second,
+                  time_point asked, time_point now);
+  bool end_limit(const std::string& id, std::uint64_t started_ms, time_point asked);
   /// False if one of the servers of a choice has said since that it leaves or wants no requests.
   bool wants_requests(const backend_choice& choice, time_point now) const;
   /// False if the engines of a pipeline are not known to hold their layers any more.
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -308,9 +308,10 @@
       .connect_timeout = std::min(connect_timeout, std::max(milliseconds(1), time_left())),
       .may_send = [this, choice, chosen = current_time()]
       {
-        const auto now = current_time();
-        return now - chosen < choice_lifetime && m_context.backends.wants_requests(choice, now) &&
-               m_context.backends.holds_layers(choice, now);
+        m_sent_at = current_time();
+        return m_sent_at - chosen < choice_lifetime &&
+               m_context.backends.wants_requests(choice, m_sent_at) &&
+               m_context.backends.holds_layers(choice, m_sent_at);
       }};
   const auto self = shared_from_this();
   m_attempt = std::make_shared<backend_attempt>(
@@ -445,6 +446,7 @@
     log_warning(log_category::requests, "pause of a backend server cannot be read",
                 {{"server", m_server.id}, {"value", notice.unreadable_pause}});
   }
+  handle_limit(notice);
   if (notice.pause &&
       m_context.backends.begin_pause(m_server.id, m_server.started_ms, *notice.pause, now))
   {
@@ -459,9 +461,30 @@
   }
 }
 
+void request_exchange::handle_limit(const protocol::server_notice& notice)
+{
+  const auto now = current_time();
+  if (!notice.unreadable_limit.empty() && m_context.log_budget.try_take(1, now))
+  {
+    log_warning(log_category::requests, "limit of a backend server cannot be read",
+                {{"server", m_server.id}, {"value", notice.unreadable_limit}});
+  }
+  if (notice.limit && m_context.backends.name_limit(m_server.id, m_server.started_ms,
+                                                    *notice.limit, m_sent_at, now))
+  {
+    m_context.metrics.add("server_limits");
+  }
+}
+
 void request_exchange::handle_head(const async_io::message_head& head)
 {
   m_head = head;
+  const bool success = head.status >= 200 && head.status < 300;
+  if (success && !platform::decode_notice(head).names_limit() &&
+      m_context.backends.end_limit(m_server.id, m_server.started_ms, m_sent_at))
+  {
+    m_context.metrics.add("server_limits_ended");
+  }
   const auto* type = head.find("Content-Type");
   m_relaying_events = head.status == 200 && m_request.route->streaming && type != nullptr &&
                       type->starts_with("text/event-stream");
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -80,6 +80,7 @@
   void notify_agents() const;
   std::string serialize_request(const backend_choice& choice) const;
   void handle_notice(const protocol::server_notice& notice);
+  void handle_limit(const protocol::server_notice& notice);
   void handle_head(const async_io::message_head& head);
   void handle_body(const std::string& data);
   void handle_attempt_end(const attempt_result& result);
@@ -115,6 +116,8 @@
   /// Server of the current or last attempt.
   backend_choice m_server;
 
+  /// When the current attempt was sent.
+  time_point m_sent_at{};
   std::set<std::string> m_tried_servers;
   /// Head and body of a response that has not been forwarded yet.
   async_io::message_head m_head;
--- a/Source/Core/Gateway/ServerNotices.cpp
+++ b/Source/Core/Gateway/ServerNotices.cpp
@@ -96,6 +96,40 @@
   return true;
 }
 
+/// Answers overtake each other. The one to a request that was sent after the last answer had arrived
+/// is newer; of two others, the lower limit is the safe one.
+bool server_notices::name_limit(const std::string& id, std::uint64_t started_ms, double per_second,
+                                time_point asked, time_point now)
+{
+  notice* found = find_or_add(id, started_ms);
+  if (found == nullptr ||
+      (found->limit && per_second > *found->limit && asked <= found->limit_named))
+  {
+    return false;
+  }
+  const bool is_news = found->limit != per_second;
+  found->limit = per_second;
+  found->limit_named = now;
+  return is_news;
+}
+
+bool server_notices::end_limit(const std::string& id, std::uint64_t started_ms, time_point asked)
+{
+  const notice* known = find(id, started_ms);
+  if (known == nullptr || !known->limit || asked <= known->limit_named)
+  {
+    return false;
+  }
+  m_notices.at(id).limit.reset();
+  return true;
+}
+
+std::optional<double> server_notices::limit(const std::string& id, std::uint64_t started_ms) const
+{
+  const notice* found = find(id, started_ms);
+  return found == nullptr ? std::nullopt : found->limit;
+}
+
 bool server_notices::is_leaving(const std::string& id, std::uint64_t started_ms) const
 {
   const notice* found = find(id, started_ms);
--- a/Source/Core/Gateway/ServerNotices.h
+++ b/Source/Core/Gateway/ServerNotices.h
@@ -16,9 +16,9 @@
 /// Longest time for which a server can refuse requests in advance; a longer one is cut to it.
 constexpr milliseconds max_server_pause{300'000};
 
-/// What servers have said about the requests that they want: none any more, or none for a while. A
-/// notice concerns one start of a server and holds whatever other sources say of it. The caller
-/// passes the time. Not thread-safe.
+/// What servers have said about the requests that they want: none any more, none for a while, or so
+/// many a second. A notice concerns one start of a server and holds whatever other sources say of
+/// it. The caller passes the time. Not thread-safe.
 class server_notices
 {
 public:
@@ -30,7 +30,18 @@
   bool begin_pause(const std::string& id, std::uint64_t started_ms, milliseconds length,
                    double random_fraction, time_point now);
 
+  /// The server takes so many requests a second from all callers together. `asked`: when the request
+  /// was sent whose answer says so. Returns false if that was known, or if a lower limit was named
+  /// since.
+  bool name_limit(const std::string& id, std::uint64_t started_ms, double per_second,
+                  time_point asked, time_point now);
+  /// The answer to a request that was sent at `asked` names no limit. Returns false if none was
+  /// known, or if the answer may be older than the last one that named it.
+  bool end_limit(const std::string& id, std::uint64_t started_ms, time_point asked);
+
   bool is_leaving(const std::string& id, std::uint64_t started_ms) const;
+  /// Requests a second that the server takes; empty if it names no limit.
+  std::optional<double> limit(const std::string& id, std::uint64_t started_ms) const;
   /// End of the pause of a server; empty if it takes requests.
   std::optional<time_point> paused_until(const std::string& id, std::uint64_t started_ms,
                                          time_point now) const;
@@ -44,6 +55,9 @@
     bool leaving = false;
     time_point paused_until{};
     bool end_reported = true;
+    std::optional<double> limit;
+    /// When an answer last named the limit.
+    time_point limit_named{};
   };
 
   const notice* find(const std::string& id, std::uint64_t started_ms) const;
--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(labels_of_a_request);
   CPPUNIT_TEST(statements_of_servers);
   CPPUNIT_TEST(notices_of_servers);
+  CPPUNIT_TEST(limits_of_servers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -201,6 +202,31 @@
     CPPUNIT_ASSERT(says_not_executed(answer));
   }
 
+  void limits_of_servers()
+  {
+    const auto notice = [](const std::vector<std::string>& values)
+    {
+      async_io::message_head answer;
+      answer.status = 200;
+      for (const std::string& value : values)
+      {
+        answer.fields.push_back({"server-limit", value});
+      }
+      return decode_notice(answer);
+    };
+    CPPUNIT_ASSERT(notice({"1.7"}).limit == 1.7);
+    CPPUNIT_ASSERT(notice({"0"}).limit == 0.0);
+    CPPUNIT_ASSERT(!notice({}).names_limit());
+    CPPUNIT_ASSERT(notice({"3", "2", "4"}).limit == 2.0);
+    CPPUNIT_ASSERT(notice({"soon", "2"}).limit == 2.0);
+    CPPUNIT_ASSERT(*notice({std::string(40, '9')}).limit > 1e30);
+    for (const char* value : {"-1", "few", "1e3", "", "nan", "inf", "1,2", "0x10", "1 a second"})
+    {
+      CPPUNIT_ASSERT(!notice({value}).limit);
+      CPPUNIT_ASSERT(notice({value}).names_limit());
+    }
+  }
+
   void notices_of_servers()
   {
     const auto notice = [](unsigned status, const std::string& name, const std::string& value)
