Emulator: servers name limits of their requests, change and withdraw them; check LIMIT

A server of the emulator names a limit of 0 to 4 requests a second in all its answers, changes it, spells it so that it cannot be read, and withdraws it. The check counts, in spans of 4 s, the requests from machines that have passed such an answer on, as the users' rule does; a machine that was restarted, paused or disturbed is excused.

--- a/Source/Emulator/BackendServer.cpp
+++ b/Source/Emulator/BackendServer.cpp
@@ -46,12 +46,16 @@
   return value == nullptr ? std::string{} : *value;
 }
 
-void append_leaving(std::string& fields, bool leaving)
+void append_words(std::string& fields, const server_words& words)
 {
-  if (leaving)
+  if (words.leaving)
   {
     async_io::append_field(fields, names::server_leaving, "1");
   }
+  if (!words.limit.empty())
+  {
+    async_io::append_field(fields, names::server_limit, words.limit);
+  }
 }
 
 /// The content of a caller's request follows from its id, so that a change shows.
@@ -75,7 +79,7 @@
 std::string answer_fields(const server_job& job, std::string_view more)
 {
   std::string out(more);
-  append_leaving(out, *job.leaving);
+  append_words(out, *job.words);
   async_io::append_field(out, names::request_id, job.id);
   async_io::append_field(out, names::signature, make_signature(job.id, job.run));
   return out;
@@ -84,7 +88,7 @@
 void refuse(const server_job& job, unsigned status, std::string_view more)
 {
   std::string fields(more);
-  append_leaving(fields, *job.leaving);
+  append_words(fields, *job.words);
   async_io::append_field(fields, names::request_id, job.id);
   async_io::append_field(fields, names::not_executed, "1");
   job.reply->send(status, fields, {});
@@ -132,7 +136,7 @@
   m_id = keeps_id ? m_id : make_id(m_random);
   m_started_ms = unix_ms();
   m_up = true;
-  m_leaving = std::make_shared<bool>(false);
+  m_words = std::make_shared<server_words>();
   m_leaving_known = false;
   m_paused_until = {};
   m_server.set_fault(connection_fault::none);
@@ -148,12 +152,12 @@
                        .address = transport::to_string(m_identity.address),
                        .domain = m_identity.domain,
                        .slots = m_identity.slots,
-                       .draining = *m_leaving,
+                       .draining = m_words->leaving,
                        .started_ms = m_started_ms};
   fill_record(record);
   const auto written =
       m_environment.store.put(std::string(names::backend_topic), m_id, encode_server(record));
-  if (written && *m_leaving && !m_leaving_known)
+  if (written && m_words->leaving && !m_leaving_known)
   {
     leave();
   }
@@ -182,7 +186,7 @@
   log_info(log_category::process, "backend server crashes",
            {{"id", m_id}, {"downtime_ms", downtime.count()}});
   // A server that has said that it leaves does not come back under its id.
-  const bool returns_as_itself = keeps_id && !*m_leaving;
+  const bool returns_as_itself = keeps_id && !m_words->leaving;
   m_up = false;
   lose_power();
   m_server.set_fault(meanwhile);
@@ -193,11 +197,11 @@
 
 void backend_server::replace(milliseconds drain_timeout)
 {
-  if (!m_up || *m_leaving)
+  if (!m_up || m_words->leaving)
   {
     return;
   }
-  *m_leaving = true;
+  m_words->leaving = true;
   m_environment.record.seen().leaving_words.push_back({m_id, m_environment.record.now()});
   m_drain_timeout = drain_timeout;
   // While the store is away the server stays, and only its answers say that it leaves.
@@ -225,6 +229,21 @@
   m_paused_until = steady_clock::now() + time;
 }
 
+void backend_server::set_limit(std::optional<double> per_second)
+{
+  m_environment.record.seen().limit_words.push_back(
+      {m_id, m_environment.record.now(), per_second});
+  m_words->limit = per_second ? std::to_string(*per_second) : std::string{};
+}
+
+void backend_server::spoil_limit(std::string_view spelling)
+{
+  if (!m_words->limit.empty())
+  {
+    m_words->limit = spelling;
+  }
+}
+
 void backend_server::fall_silent(milliseconds time)
 {
   m_server.set_holding(true);
@@ -234,7 +253,7 @@
 std::string backend_server::notice_fields() const
 {
   std::string fields;
-  append_leaving(fields, *m_leaving);
+  append_words(fields, *m_words);
   async_io::append_field(fields, instance_field, m_id);
   return fields;
 }
@@ -258,7 +277,7 @@
   job->id = field_or(request, names::request_id);
   job->run = ++m_next_run;
   job->reply = reply;
-  job->leaving = m_leaving;
+  job->words = m_words;
   std::uint64_t left_ms = static_cast<std::uint64_t>(usual_deadline.count());
   (void)async_io::parse_number(field_or(request, names::time_left_ms), left_ms);
   job->due = steady_clock::now() + milliseconds(left_ms);
@@ -280,7 +299,7 @@
   }
   if (request.head.find(names::request_id) == nullptr)
   {
-    reply->send(*m_leaving ? 503 : 200, notice_fields(), {});
+    reply->send(m_words->leaving ? 503 : 200, notice_fields(), {});
     return;
   }
   const std::string expected = field_or(request, names::expected_server);
--- a/Source/Emulator/BackendServer.h
+++ b/Source/Emulator/BackendServer.h
@@ -37,6 +37,14 @@
   extra_answer,
 };
 
+/// What all answers of an instance say.
+struct server_words
+{
+  bool leaving = false;
+  /// Value of the field that names the limit; empty if there is none.
+  std::string limit;
+};
+
 /// A request at a backend server.
 struct server_job
 {
@@ -46,8 +54,7 @@
   std::uint64_t run = 0;
   std::size_t arrival = 0;
   std::chrono::steady_clock::time_point due;
-  /// Whether the server says in its answers that it leaves.
-  std::shared_ptr<const bool> leaving = std::make_shared<const bool>(false);
+  std::shared_ptr<const server_words> words = std::make_shared<const server_words>();
 };
 
 /// What the servers of a run share.
@@ -103,6 +110,10 @@
   void replace(std::chrono::milliseconds drain_timeout);
   /// Turns requests away for `time`, and says how much of it is left.
   void want_no_requests(std::chrono::milliseconds time);
+  /// Names this limit in its answers from now on, or none.
+  void set_limit(std::optional<double> per_second);
+  /// Spells its limit so that it cannot be read; the limit stays.
+  void spoil_limit(std::string_view spelling);
   /// A sound server that reads and sends nothing for `time` and then goes on.
   void fall_silent(std::chrono::milliseconds time);
   const transport::endpoint& address() const
@@ -153,7 +164,7 @@
   std::uint64_t m_next_run = 0;
   bool m_up = false;
   /// Shared with the jobs of the instance.
-  std::shared_ptr<bool> m_leaving = std::make_shared<bool>(false);
+  std::shared_ptr<server_words> m_words = std::make_shared<server_words>();
   bool m_leaving_known = false;
   std::chrono::milliseconds m_drain_timeout{0};
   std::chrono::steady_clock::time_point m_paused_until{};
--- a/Source/Emulator/CallerAttempt.cpp
+++ b/Source/Emulator/CallerAttempt.cpp
@@ -193,7 +193,10 @@
   m_head_checked = true;
   const async_io::message_head& head = m_parser.head();
   entry().status = head.status;
-  entry().server_leaves = platform::decode_notice(head).leaving;
+  const protocol::server_notice notice = platform::decode_notice(head);
+  entry().server_leaves = notice.leaving;
+  entry().server_limited = notice.limit.has_value();
+  entry().answered = m_record.now();
   if (head.status == 200 && m_request.route.streaming)
   {
     m_stream.emplace(m_id);
--- a/Source/Emulator/Checks.cpp
+++ b/Source/Emulator/Checks.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 
 namespace pollenyoke::emulator
@@ -294,25 +295,35 @@
   return out;
 }
 
+using words_by_server = std::unordered_map<std::string, moment>;
+
+/// By request, the last of these servers that it reached. A stream that goes on at another server
+/// keeps the head of the first one.
+std::unordered_map<std::string, std::string> index_last_servers(const history& seen,
+                                                                const words_by_server& words)
+{
+  std::unordered_map<std::string, std::string> out;
+  for (const arrival& came : seen.arrivals)
+  {
+    if (words.contains(came.server))
+    {
+      out[came.request] = came.server;
+    }
+  }
+  return out;
+}
+
 /// When each machine passed on an answer of each server that says that the server leaves.
 using leaving_answers = std::map<std::pair<std::string, std::string>, moment>;
 
 leaving_answers index_leaving_answers(const history& seen)
 {
-  std::unordered_map<std::string, moment> words;
+  words_by_server words;
   for (const leaving_word& word : seen.leaving_words)
   {
     words.try_emplace(word.server, word.at);
   }
-  // A stream that goes on at another server keeps the head of the first one.
-  std::unordered_map<std::string, std::string> last_server;
-  for (const arrival& came : seen.arrivals)
-  {
-    if (words.contains(came.server))
-    {
-      last_server[came.request] = came.server;
-    }
-  }
+  const auto last_server = index_last_servers(seen, words);
   leaving_answers out;
   for (const attempt& sent : seen.attempts)
   {
@@ -402,6 +413,115 @@
   return out;
 }
 
+/// When each process passed on an answer of each server that names a limit.
+using limit_answers = std::map<std::tuple<std::string, std::size_t, std::string>, moment>;
+
+limit_answers index_limit_answers(const history& seen)
+{
+  words_by_server words;
+  for (const limit_word& word : seen.limit_words)
+  {
+    words.try_emplace(word.server, word.at);
+  }
+  const auto last_server = index_last_servers(seen, words);
+  limit_answers out;
+  for (const attempt& sent : seen.attempts)
+  {
+    const auto server = last_server.find(sent.id);
+    if (sent.server_limited && server != last_server.end() &&
+        words.at(server->second) <= sent.answered)
+    {
+      const auto process = incarnation_at(seen, sent.machine, sent.answered);
+      const auto [known, is_new] =
+          out.try_emplace({sent.machine, process, server->second}, sent.answered);
+      known->second = std::min(known->second, sent.answered);
+    }
+  }
+  return out;
+}
+
+/// The highest limit that a server named in this time, in requests a second; empty if it named none
+/// for a part of it.
+std::optional<double> named_limit(const std::vector<limit_word>& words, moment from, moment to)
+{
+  std::optional<double> before;
+  std::optional<double> highest;
+  bool complete = true;
+  for (const limit_word& word : words)
+  {
+    if (word.at <= from)
+    {
+      before = word.per_second;
+    }
+    else if (word.at <= to)
+    {
+      complete = complete && word.per_second;
+      highest = std::max(highest, word.per_second);
+    }
+  }
+  return before && complete ? std::max(before, highest) : std::nullopt;
+}
+
+/// Arrivals at one server from machines that had told its limit, in the order of their times.
+std::vector<moment> find_limited_arrivals(const history& seen, const std::string& server,
+                                          const limit_answers& told, const rule_bounds& bounds)
+{
+  std::vector<moment> out;
+  const auto attempts = index_attempts(seen);
+  for (const arrival& came : seen.arrivals)
+  {
+    const auto sent = attempts.find(came.request);
+    if (came.server != server || sent == attempts.end())
+    {
+      continue;
+    }
+    const std::string& machine = sent->second->machine;
+    const auto answer = told.find({machine, incarnation_at(seen, machine, came.at), server});
+    const moment from = came.at - bounds.stability_window;
+    if (answer != told.end() && answer->second + bounds.limit_told <= came.at &&
+        !is_disturbed(seen, machine, from, came.at) &&
+        !was_interrupted(seen, machine, from, came.at))
+    {
+      out.push_back(came.at);
+    }
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+std::vector<violation> find_requests_beyond_limits(const history& seen, const rule_bounds& bounds)
+{
+  std::map<std::string, std::vector<limit_word>> words;
+  for (const limit_word& word : seen.limit_words)
+  {
+    words[word.server].push_back(word);
+  }
+  std::vector<violation> out;
+  const auto told = words.empty() ? limit_answers{} : index_limit_answers(seen);
+  for (const auto& [server, named] : words)
+  {
+    const auto arrivals = find_limited_arrivals(seen, server, told, bounds);
+    for (auto last = arrivals.begin(); last != arrivals.end(); ++last)
+    {
+      const moment from = *last - bounds.limit_window;
+      const auto limit = named_limit(named, from - bounds.stability_window, *last);
+      const auto count = last + 1 - std::lower_bound(arrivals.begin(), arrivals.end(), from);
+      const double allowed =
+          bounds.limit_overage * limit.value_or(0) * bounds.limit_window + bounds.limit_extra;
+      if (limit && static_cast<double>(count) > allowed)
+      {
+        out.push_back({"LIMIT", server + ", which had named a limit of " + std::to_string(*limit) +
+                                    " a second, got " + std::to_string(count) +
+                                    " requests in the " + std::to_string(bounds.limit_window) +
+                                    " s before " + std::to_string(*last) + " s, allowed " +
+                                    std::to_string(allowed)});
+        break;
+      }
+    }
+  }
+  return out;
+}
+
 std::vector<violation> find_excess_repeats(const history& seen, const rule_bounds& bounds)
 {
   struct counted
@@ -626,7 +746,7 @@
   return out;
 }
 
-constexpr std::array<rule_check, 15> checks = {
+constexpr std::array<rule_check, 16> checks = {
     {{"repeated runs", false, find_repeated_runs},
      {"wrong answers", false, find_wrong_answers},
      {"false refusals", false, find_false_refusals},
@@ -636,6 +756,7 @@
      {"requests to leaving servers", true, find_requests_to_leaving},
      {"requests after leaving answers", true, find_requests_after_leaving_answers},
      {"requests in pauses", true, find_requests_in_pauses},
+     {"requests beyond limits", true, find_requests_beyond_limits},
      {"excess repeats", true, find_excess_repeats},
      {"old or spoilt weights", true, find_old_weights},
      {"requests cut off in a stop", true, find_cut_requests},
--- a/Source/Emulator/Checks.h
+++ b/Source/Emulator/Checks.h
@@ -27,6 +27,12 @@
   double retry_budget_extra = 20;
   /// A request may reach a server this long after it has asked for a pause.
   double pause_slack = 0.5;
+  /// A server that names a limit gets, in any span of this length, this many times what the limit
+  /// allows and a few requests more, from machines that have passed its limit on some time before.
+  double limit_window = 4;
+  double limit_overage = 1.5;
+  double limit_extra = 5;
+  double limit_told = 0.5;
 };
 
 /// A promise that was broken, with what was seen.
--- a/Source/Emulator/FaultInjector.cpp
+++ b/Source/Emulator/FaultInjector.cpp
@@ -85,6 +85,7 @@
     {fault_kind::server_wants_pause, &fault_injector::begin_server_pause},
     {fault_kind::server_silent, &fault_injector::silence_server},
     {fault_kind::load_disturbed, &fault_injector::disturb_load},
+    {fault_kind::server_limited, &fault_injector::limit_server},
 };
 
 fault_injector::fault_injector(async_io::event_loop& loop, platform_run& run,
@@ -316,6 +317,22 @@
   choose_server(fault).fall_silent(duration_cast<milliseconds>(to_time(length)));
 }
 
+/// No disturbance: a server in need does so. An instance that starts meanwhile names no limit until
+/// the next step.
+void fault_injector::limit_server(const planned_fault& fault)
+{
+  constexpr std::array<double, 5> limits{0.3, 1, 1.7, 4, 0};
+  constexpr std::array<std::string_view, 4> spellings{"few", "-1", "nan", "1e400"};
+  auto& server = choose_server(fault);
+  const double first = pick(limits, fault.choice / 16);
+  const double second = pick(limits, fault.choice / 64);
+  server.set_limit(first);
+  after(fault.duration / 2, [&server, second] { server.set_limit(second); });
+  after(fault.duration * 3 / 4, [&server, spelling = pick(spellings, fault.choice / 256)]
+        { server.spoil_limit(spelling); });
+  after(fault.duration, [&server] { server.set_limit({}); });
+}
+
 void fault_injector::disturb_load(const planned_fault& fault)
 {
   // Pieces turn bad after the agent has read them, and before it goes on.
--- a/Source/Emulator/FaultInjector.h
+++ b/Source/Emulator/FaultInjector.h
@@ -69,6 +69,7 @@
   void begin_server_pause(const planned_fault& fault);
   void silence_server(const planned_fault& fault);
   void disturb_load(const planned_fault& fault);
+  void limit_server(const planned_fault& fault);
 
   void set_link_faults(const planned_fault& fault, const stand_ins::relay_faults& faults);
   void trouble_server(backend_server& server, const planned_fault& fault);
--- a/Source/Emulator/FaultPlan.cpp
+++ b/Source/Emulator/FaultPlan.cpp
@@ -29,6 +29,11 @@
 constexpr double mean_notice_gap_s = 2.5;
 // So are disturbed loads. Each of them names new weights; those before should be in use by then.
 constexpr double mean_load_gap_s = 12;
+// A limit counts from some seconds after it was named, over the seconds that follow.
+constexpr double mean_limit_gap_s = 7;
+constexpr double min_limit_time_s = 9;
+constexpr double max_limit_time_s = 20;
+constexpr std::uint64_t limit_stream = 0xa0761d6478bd642fU;
 constexpr std::uint64_t load_stream = 0xd1b54a32d192ed03U;
 constexpr std::uint64_t notice_stream = 0x9e3779b97f4a7c15U;
 constexpr std::array notice_kinds{fault_kind::server_wants_pause, fault_kind::server_silent,
@@ -42,7 +47,7 @@
   unsigned weight;
 };
 
-constexpr std::array<named_fault, 31> faults = {{
+constexpr std::array<named_fault, 32> faults = {{
     {fault_kind::kill_processes, "kill_processes", 4},
     {fault_kind::kill_all, "kill_all", 0},
     {fault_kind::stop_process, "stop_process", 4},
@@ -73,6 +78,7 @@
     {fault_kind::impatient_callers, "impatient_callers", 1},
     {fault_kind::server_wants_pause, "server_wants_pause", 0},
     {fault_kind::server_silent, "server_silent", 0},
+    {fault_kind::server_limited, "server_limited", 0},
     {fault_kind::load_disturbed, "load_disturbed", 0},
 }};
 
@@ -109,6 +115,23 @@
   }
 }
 
+void add_limits(std::vector<planned_fault>& plan, std::uint64_t seed, double last)
+{
+  std::mt19937_64 random(seed ^ limit_stream);
+  std::exponential_distribution<double> gap(1 / mean_limit_gap_s);
+  std::uniform_real_distribution<double> fraction(0, 1);
+  for (double at = first_fault_s + gap(random); at < last - min_limit_time_s; at += gap(random))
+  {
+    const double drawn =
+        min_limit_time_s + fraction(random) * (max_limit_time_s - min_limit_time_s);
+    plan.push_back({.kind = fault_kind::server_limited,
+                    .at = at,
+                    .duration = std::min(drawn, last - at),
+                    .share = fraction(random),
+                    .choice = random()});
+  }
+}
+
 void add_disturbed_loads(std::vector<planned_fault>& plan, std::uint64_t seed, double last)
 {
   std::mt19937_64 random(seed ^ load_stream);
@@ -156,6 +179,7 @@
   }
   add_notices(plan, seed, last);
   add_disturbed_loads(plan, seed, last);
+  add_limits(plan, seed, last);
   std::stable_sort(plan.begin(), plan.end(),
                    [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
   if (loses_all)
--- a/Source/Emulator/History.h
+++ b/Source/Emulator/History.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,6 +53,10 @@
   bool gave_up = false;
   /// The answer says that its server leaves.
   bool server_leaves = false;
+  /// The answer names a limit of its server.
+  bool server_limited = false;
+  /// When its head arrived; 0 if none did.
+  moment answered = 0;
   /// Sent to one machine to learn which configuration is in force there.
   bool is_probe = false;
 };
@@ -110,6 +115,15 @@
   moment at = 0;
 };
 
+/// The moment from which the answers of a server name this limit.
+struct limit_word
+{
+  std::string server;
+  moment at = 0;
+  /// Requests a second; empty: none from then on.
+  std::optional<double> per_second;
+};
+
 /// Everything that a fault may affect is excused for a while.
 struct disturbance
 {
@@ -160,6 +174,7 @@
   std::vector<named_weights> weights;
   std::vector<leaving_server> leaving;
   std::vector<leaving_word> leaving_words;
+  std::vector<limit_word> limit_words;
   std::vector<disturbance> disturbances;
   std::vector<process_start> starts;
   std::vector<process_crash> crashes;
--- a/Source/Emulator/SelfCheck.cpp
+++ b/Source/Emulator/SelfCheck.cpp
@@ -136,6 +136,20 @@
   }
 }
 
+/// A machine passes on a limit of one a second, and sends four a second from then on.
+void disregard_limit(history& seen)
+{
+  seen.limit_words.push_back({"i-1", 15, 1});
+  seen.attempts.front().server_limited = true;
+  seen.attempts.front().answered = 19.1;
+  for (unsigned i = 0; i < 16; ++i)
+  {
+    const std::string id = "beyond-" + std::to_string(i);
+    seen.attempts.push_back(make_attempt(id, 22 + i * 0.25, request_kind::idempotent));
+    seen.arrivals.push_back(make_arrival(id, 22 + i * 0.25));
+  }
+}
+
 void repeat_too_often(history& seen)
 {
   for (unsigned i = 0; i < 100; ++i)
@@ -218,7 +232,7 @@
   seen.memory.push_back({"entry-a-1", 200, 100});
 }
 
-constexpr std::array<altered_history, 23> alterations = {{
+constexpr std::array<altered_history, 24> alterations = {{
     {"a request that runs once ran twice", "TWICE", "repeated runs", repeat_run},
     {"an answer belongs to another request", "MIXED", "wrong answers", mix_answer},
     {"a refused request ran", "REFUSED", "false refusals", refuse_falsely},
@@ -233,6 +247,7 @@
     {"a server that said so in an answer got a request", "DRAIN", "requests after leaving answers",
      use_server_that_said_it_leaves},
     {"a server's pause was disregarded", "BUDGET", "requests in pauses", disregard_pause},
+    {"a server's limit was disregarded", "LIMIT", "requests beyond limits", disregard_limit},
     {"requests are repeated too often", "BUDGET", "excess repeats", repeat_too_often},
     {"an older version is still used", "VERSION", "old or spoilt weights", use_old_weights},
     {"weights were not whole", "WHOLE", "old or spoilt weights", load_spoilt_weights},
--- a/Source/UnitTests/Emulator/ChecksTest.cpp
+++ b/Source/UnitTests/Emulator/ChecksTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(server_that_continues_a_stream_of_a_leaving_one_is_not_taken_for_it);
   CPPUNIT_TEST(time_from_the_word_of_a_server_to_its_last_request);
   CPPUNIT_TEST(few_requests_may_cross_the_answer_that_asks_for_a_pause);
+  CPPUNIT_TEST(requests_beyond_a_limit_are_those_of_machines_that_were_told);
   CPPUNIT_TEST(same_seed_draws_the_same_plan);
   CPPUNIT_TEST(plan_ends_before_the_run);
   CPPUNIT_TEST(each_fault_has_a_name);
@@ -41,7 +42,7 @@
   {
     const auto report = run_self_check();
     CPPUNIT_ASSERT(report.checks > 0);
-    CPPUNIT_ASSERT_EQUAL(std::string(R"({"checks":15,"undetected":[]})"), to_json(report));
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"checks":16,"undetected":[]})"), to_json(report));
   }
 
   void faults_excuse_a_machine_for_the_stability_window()
@@ -151,6 +152,31 @@
   }
 
   /// Guards against a seed that cannot be played again.
+  /// The rule concerns the limit that the server names, for as long as it does, and the machines
+  /// that passed it on.
+  void requests_beyond_a_limit_are_those_of_machines_that_were_told()
+  {
+    const auto beyond = std::find_if(altered_histories().begin(), altered_histories().end(),
+                                     [](const altered_history& altered)
+                                     { return altered.rule == "LIMIT"; });
+    CPPUNIT_ASSERT(beyond != altered_histories().end());
+    history told = make_sound_history();
+    beyond->alter(told);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, find_violations(told, m_bounds).size());
+    history raised = told;
+    raised.limit_words.push_back({"i-1", 21, 2});
+    CPPUNIT_ASSERT(find_violations(raised, m_bounds).empty());
+    history ended = told;
+    ended.limit_words.push_back({"i-1", 21, std::nullopt});
+    CPPUNIT_ASSERT(find_violations(ended, m_bounds).empty());
+    history untold = told;
+    untold.attempts.front().server_limited = false;
+    CPPUNIT_ASSERT(find_violations(untold, m_bounds).empty());
+    history restarted = told;
+    restarted.starts.push_back({"entry-a-1", 21.5});
+    CPPUNIT_ASSERT(find_violations(restarted, m_bounds).empty());
+  }
+
   void same_seed_draws_the_same_plan()
   {
     const auto first = draw_plan(7, 60);
