Gateway: requests to a server that names a limit need a permit of one entry

What callers and servers saw: a server that had named `Server-Limit: 1.7` got 18 requests in 4 s from entries that it had told (allowed 15). Cause: entries did not know the field; each chose the server by its speed, and the server got the sum over twenty entries.

Change: entries read the limit from answers and tell each other. A request to a limited server needs a permit, which one live entry issues (rendezvous hashing over the server's id) at the pace of the limit: first sends, moves, continued streams and trials of a server that was put aside alike. A refused permit says when to ask again, later the more hosts ask, so that the cost does not grow with their number; the request goes to another server at once. Where only limited servers are left, a turn is booked if it comes within half of the objective; other requests are refused at once, with the time of the next turn or, while many are refused, as late as the caller accepts. An entry that gets no answer of the owner sends nothing. An entry issues permits only when it has owned the server through 2 s of observed membership, so that no two issue them after a change, a pause or a start. The query carries when its limit was heard; the newest counts. Limited engines do not serve in pairs.

--- a/Source/Core/Gateway/AdmissionPolicy.cpp
+++ b/Source/Core/Gateway/AdmissionPolicy.cpp
@@ -42,8 +42,8 @@
 admission_decision wait_for_pause(const admission_input& input, double waited_ms)
 {
   const double pause_ms = static_cast<double>(input.pause_left->count());
-  const double objective_ms = static_cast<double>(input.objective.count());
-  if (waited_ms + pause_ms <= objective_ms * max_hold_share)
+  const auto waited = std::chrono::milliseconds(static_cast<std::int64_t>(waited_ms));
+  if (*input.pause_left <= longest_hold(input.objective, waited))
   {
     return {.hold_for = *input.pause_left + std::chrono::milliseconds(1)};
   }
@@ -64,6 +64,14 @@
 
 } // namespace
 
+std::chrono::milliseconds longest_hold(std::chrono::milliseconds objective,
+                                       std::chrono::milliseconds waited)
+{
+  const auto hold = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::duration<double, std::milli>(objective) * max_hold_share);
+  return std::max(hold - waited, std::chrono::milliseconds(0));
+}
+
 void refusal_average::add(bool refused, time_point now)
 {
   const double passed = std::chrono::duration<double>(now - m_updated).count();
@@ -94,10 +102,17 @@
   {
     return {.admitted = true};
   }
-  if (!input.first_byte_ms && input.pause_left)
+  // Limits do not end with the next permit: while they turn many requests away, the others would
+  // be back too early.
+  const bool limits_exceeded = input.limited && input.refused_share > overload_share;
+  if (!input.first_byte_ms && input.pause_left && !limits_exceeded)
   {
     return wait_for_pause(input, waited);
   }
+  if (!input.first_byte_ms && limits_exceeded)
+  {
+    return return_late(input, overload_return_spread);
+  }
   if (!input.first_byte_ms && input.loads_weights)
   {
     return return_late(input, load_return_spread);
--- a/Source/Core/Gateway/AdmissionPolicy.h
+++ b/Source/Core/Gateway/AdmissionPolicy.h
@@ -23,6 +23,8 @@
   /// Without a server: time until the first one that wants no requests for a while takes them
   /// again; empty if there is none.
   std::optional<std::chrono::milliseconds> pause_left;
+  /// Without a server: some name limits, which are used up.
+  bool limited = false;
   /// Share of the requests for the service that were refused lately.
   double refused_share = 0;
   /// Random number in [0, 1) that adds jitter to `retry_after`.
@@ -53,6 +55,10 @@
   std::chrono::milliseconds retry_after{};
 };
 
+/// How long a request may wait before it is sent; the server needs the rest of the objective.
+std::chrono::milliseconds longest_hold(std::chrono::milliseconds objective,
+                                       std::chrono::milliseconds waited);
+
 /// Decides on arrival whether a request is forwarded or shed. Under overload, forwarding every
 /// request would make all of them late. Requests that would miss the objective are rejected before
 /// they use server time, and a retried request that is already late is admitted only to spare
--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -227,7 +227,9 @@
     const std::uint64_t started_ms = known == m_servers.end() ? 0 : known->second.entry.started_ms;
     return !m_notices.is_leaving(id, started_ms) && !m_notices.paused_until(id, started_ms, now);
   };
-  return wants(choice.id) &&
+  const bool permitted =
+      choice.limited || !m_notices.limit(choice.id, choice.started_ms).has_value();
+  return permitted && wants(choice.id) &&
          std::all_of(choice.pipeline.begin(), choice.pipeline.end(),
                      [&wants](const protocol::pipeline_stage& stage) { return wants(stage.id); });
 }
@@ -250,13 +252,47 @@
                      });
 }
 
+std::optional<permit_query> backend_table::make_permit_query(const backend_choice& choice,
+                                                             time_point now) const
+{
+  const auto limit = m_notices.limit(choice.id, choice.started_ms);
+  if (!limit)
+  {
+    return std::nullopt;
+  }
+  const auto heard_ago = now - m_notices.limit_heard(choice.id, choice.started_ms);
+  return permit_query{.server = choice.id,
+                      .started_ms = choice.started_ms,
+                      .limit = *limit,
+                      .heard_ago = std::chrono::duration_cast<milliseconds>(heard_ago)};
+}
+
+void backend_table::put_off(const backend_choice& choice, time_point until)
+{
+  m_notices.put_off(choice.id, choice.started_ms, until);
+}
+
+bool backend_table::has_unlimited(const choice_request& request, time_point now) const
+{
+  return std::any_of(m_servers.begin(), m_servers.end(),
+                     [this, &request, now](const auto& item)
+                     { return !is_limited(item.second) && is_usable(item.second, request, now); });
+}
+
+bool backend_table::has_limited(const choice_request& request, time_point now) const
+{
+  return std::any_of(m_servers.begin(), m_servers.end(),
+                     [this, &request, now](const auto& item)
+                     { return is_limited(item.second) && is_willing(item.second, request, now); });
+}
+
 std::optional<milliseconds> backend_table::shortest_pause(const choice_request& request,
                                                           time_point now) const
 {
   std::optional<milliseconds> shortest;
   for (const auto& [id, backend] : m_servers)
   {
-    const auto until = m_notices.paused_until(id, backend.entry.started_ms, now);
+    const auto until = m_notices.closed_until(id, backend.entry.started_ms, now);
     if (until && is_willing(backend, request, now))
     {
       const auto left = std::chrono::duration_cast<milliseconds>(*until - now);
@@ -342,6 +378,11 @@
   return backend.entry.draining || m_notices.is_leaving(backend.entry.id, backend.entry.started_ms);
 }
 
+bool backend_table::is_limited(const server& backend) const
+{
+  return m_notices.limit(backend.entry.id, backend.entry.started_ms).has_value();
+}
+
 bool backend_table::is_present(const server& backend, time_point now) const
 {
   return !is_leaving(backend) && (!backend.expires_at || now < *backend.expires_at);
@@ -368,8 +409,8 @@
 bool backend_table::accepts_requests(const server& backend, const choice_request& request,
                                      time_point now) const
 {
-  return is_willing(backend, request, now) &&
-         !m_notices.paused_until(backend.entry.id, backend.entry.started_ms, now);
+  return is_willing(backend, request, now) && !(request.without_limited && is_limited(backend)) &&
+         !m_notices.closed_until(backend.entry.id, backend.entry.started_ms, now);
 }
 
 bool backend_table::is_willing(const server& backend, const choice_request& request,
@@ -407,7 +448,8 @@
                                                    time_point now) const
 {
   const bool fresh = backend.load && now - backend.layers_confirmed < partial_report_lifetime;
-  if (!fresh || backend.load->part_version == 0 ||
+  // A request to a pipeline would need a permit for each of its engines.
+  if (!fresh || is_limited(backend) || backend.load->part_version == 0 ||
       backend.load->part_version < request.newest_version ||
       backend.load->part_version < request.minimum_version ||
       !accepts_requests(backend, request, now))
@@ -574,7 +616,8 @@
                      .first_byte_ms = first.expected.first_byte_ms,
                      .wait_ms = first.expected.wait_ms,
                      .weight_version = known_version(chosen, find_service(request.service)),
-                     .started_ms = chosen.entry.started_ms};
+                     .started_ms = chosen.entry.started_ms,
+                     .limited = is_limited(chosen)};
   if (first.part.is_empty())
   {
     return out;
--- a/Source/Core/Gateway/BackendTable.h
+++ b/Source/Core/Gateway/BackendTable.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Gateway/PermitIssuer.h"
 #include "Gateway/ServerNotices.h"
 #include "Peers/PeerMessages.h"
 #include "Peers/ReportClock.h"
@@ -59,6 +60,8 @@
   std::uint64_t newest_version = 0;
   std::string own_domain;
   std::set<std::string> excluded;
+  /// Leaves out the servers that name a limit.
+  bool without_limited = false;
 };
 
 /// Exponentially decaying average of the requests per second to one service.
@@ -86,6 +89,8 @@
   std::uint64_t weight_version = 0;
   /// Start of the server, Unix time in ms; 0 if unknown.
   std::uint64_t started_ms = 0;
+  /// The server names a limit, so that the request needs a permit.
+  bool limited = false;
   /// Pipeline of engines that run the request together, the chosen server first; empty if one
   /// server runs it alone.
   std::vector<protocol::pipeline_stage> pipeline;
@@ -135,8 +140,17 @@
   bool wants_requests(const backend_choice& choice, time_point now) const;
   /// False if the engines of a pipeline are not known to hold their layers any more.
   bool holds_layers(const backend_choice& choice, time_point now) const;
-  /// Shortest time until a server that only wants no requests for a while takes them again.
+  /// What an entry says when it asks for a permit; empty if the server names no limit.
+  std::optional<permit_query> make_permit_query(const backend_choice& choice, time_point now) const;
+  /// See server_notices.
+  void put_off(const backend_choice& choice, time_point until);
+  /// Whether a server that names no limit can take the request.
+  bool has_unlimited(const choice_request& request, time_point now) const;
+  /// Shortest time until a server takes requests again that only has a pause, or a limit that is
+  /// used up.
   std::optional<milliseconds> shortest_pause(const choice_request& request, time_point now) const;
+  /// Whether servers of the service that could take the request name limits.
+  bool has_limited(const choice_request& request, time_point now) const;
   std::optional<transport::endpoint> address_of(const std::string& id) const;
 
   std::optional<backend_choice> choose(const choice_request& request, time_point now);
@@ -177,6 +191,7 @@
   static std::uint64_t known_version(const server& backend, const protocol::service* service);
   const protocol::service* find_service(const std::string& name) const;
   bool is_leaving(const server& backend) const;
+  bool is_limited(const server& backend) const;
   /// Nothing but a pause that the server asked for keeps requests from it.
   bool is_willing(const server& backend, const choice_request& request, time_point now) const;
   /// The server accepts requests now, whatever weights it has loaded.
--- a/Source/Core/Gateway/CrashDetector.h
+++ b/Source/Core/Gateway/CrashDetector.h
@@ -8,23 +8,11 @@
 #include "AsyncIo/TcpConnection.h"
 #include "Gateway/BackendTable.h"
 #include "Gateway/CrashQuarantine.h"
+#include "Gateway/FleetLink.h"
 
 namespace pollenyoke::gateway
 {
 
-/// How an entry shares what it knows about crashes with the others.
-struct fleet_link
-{
-  /// Sends a message to all other entries.
-  std::function<void(const peers::peer_message&)> tell_entries = [](const peers::peer_message&) {
-  };
-  /// Whether this entry, of all entries, is responsible for a key.
-  std::function<bool(std::uint64_t key)> owns = [](std::uint64_t)
-  {
-    return true;
-  };
-};
-
 /// Observes crashes of servers and exchanges them with the other entries.
 class crash_detector
 {
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -39,6 +39,7 @@
                             {
                               end_quarantined_requests();
                             }},
+                .permits = permit_desk(loop, link, std::random_device{}()),
                 .tell_entries = link.tell_entries,
                 .random = std::mt19937_64(std::random_device{}()),
                 .metrics = {},
@@ -141,8 +142,23 @@
   m_context.backends.update_load(load, current_time());
 }
 
-void gateway::receive(const peers::peer_message& message)
+void gateway::receive(const peers::peer_message& message, const std::string& from)
 {
+  if (const auto* limit = std::get_if<peers::server_limit>(&message))
+  {
+    add_limit(*limit);
+    return;
+  }
+  if (const auto* request = std::get_if<peers::permit_request>(&message))
+  {
+    m_context.permits.receive(*request, from);
+    return;
+  }
+  if (const auto* answer = std::get_if<peers::permit_answer>(&message))
+  {
+    m_context.permits.receive(*answer);
+    return;
+  }
   if (const auto* leaving = std::get_if<peers::server_leaving>(&message))
   {
     add_leaving(*leaving);
@@ -164,6 +180,18 @@
   }
 }
 
+void gateway::add_limit(const peers::server_limit& news)
+{
+  const auto now = current_time();
+  const bool is_news = news.ended ? m_context.backends.end_limit(news.server, news.started_ms, now)
+                                  : m_context.backends.name_limit(news.server, news.started_ms,
+                                                                  news.per_second, now, now);
+  if (is_news)
+  {
+    m_context.metrics.add("server_limits_by_peer");
+  }
+}
+
 std::optional<peers::quarantine_digest> gateway::quarantine_digest() const
 {
   return m_context.crashes.quarantine().make_digest(current_time());
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -45,8 +45,8 @@
   /// then.
   void remove_backend(const std::string& id, std::optional<time_point> may_return_until);
   void update_load(const peers::load_message& load);
-  /// Handles what another entry tells of backend servers.
-  void receive(const peers::peer_message& message);
+  /// Handles what another entry tells of backend servers. `from`: its address.
+  void receive(const peers::peer_message& message, const std::string& from = {});
   /// Content under which servers crash; empty if there is none.
   std::optional<peers::quarantine_digest> quarantine_digest() const;
   bool is_ready() const;
@@ -59,6 +59,7 @@
   void accept(async_io::tcp_connection::pointer connection);
   void check_stopped();
   void add_leaving(const peers::server_leaving& leaving);
+  void add_limit(const peers::server_limit& news);
   void end_quarantined_requests();
 
   gateway_context m_context;
--- a/Source/Core/Gateway/GatewayContext.h
+++ b/Source/Core/Gateway/GatewayContext.h
@@ -15,6 +15,7 @@
 #include "Gateway/AdmissionPolicy.h"
 #include "Gateway/BackendTable.h"
 #include "Gateway/CrashDetector.h"
+#include "Gateway/PermitDesk.h"
 #include "Gateway/RouteTable.h"
 #include "Gateway/ServiceRetryBudget.h"
 #include "Gateway/VersionPolicy.h"
@@ -39,6 +40,7 @@
   std::map<std::string, service_retry_budget> retry_budgets;
   std::map<std::string, refusal_average> refusals;
   crash_detector crashes;
+  permit_desk permits;
   /// Sends a message to all other entries.
   std::function<void(const peers::peer_message&)> tell_entries;
   std::mt19937_64 random;
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -42,6 +42,8 @@
 // A server that crashes under a request does so when it begins to write the answer, in the pass
 // that makes its first tokens; one or two events may leave it before.
 constexpr milliseconds proof_delay{500};
+// Each permit that is asked for takes a round trip.
+constexpr unsigned max_refused_permits = 3;
 // Callers of quarantined content need not return soon.
 constexpr milliseconds quarantine_retry_after{60000};
 
@@ -130,7 +132,8 @@
           .minimum_version = m_minimum_version,
           .newest_version = service != nullptr ? m_context.versions.newest(service->model) : 0,
           .own_domain = m_context.settings.failure_domain,
-          .excluded = m_tried_servers};
+          .excluded = m_tried_servers,
+          .without_limited = m_refused_permits >= max_refused_permits};
 }
 
 bool request_exchange::check_content()
@@ -252,14 +255,11 @@
     else
     {
       input.pause_left = m_context.backends.shortest_pause(make_choice_request(), now);
+      input.limited = m_context.backends.has_limited(make_choice_request(), now);
       const auto* service = m_request.table->find_service(m_request.service);
       input.loads_weights = service != nullptr && service->engine.has_value();
     }
     const admission_decision decision = decide_admission(input);
-    if (!decision.hold_for)
-    {
-      m_context.refusals[m_request.service].add(!decision.admitted, now);
-    }
     if (decision.hold_for)
     {
       m_retry_timer.start(*decision.hold_for, [self = shared_from_this()] { self->send_next(); });
@@ -267,6 +267,7 @@
     }
     if (!decision.admitted)
     {
+      m_context.refusals[m_request.service].add(true, now);
       if (m_may_have_run > 0)
       {
         apply(final_action(make_retry_state(m_last_end)));
@@ -276,19 +277,89 @@
       return;
     }
   }
-  if (m_attempt_count > 0 &&
-      !m_context.budget(m_request.service).try_retry(now, m_context.possible_entries()))
+  if (choice->limited)
+  {
+    ask_permit(*choice);
+    return;
+  }
+  begin_attempt(*choice);
+}
+
+void request_exchange::ask_permit(const backend_choice& choice)
+{
+  const auto now = current_time();
+  auto query = m_context.backends.make_permit_query(choice, now);
+  const bool may_send =
+      m_attempt_count == 0 ||
+      m_context.budget(m_request.service).allows_retry(now, m_context.possible_entries());
+  if (!query || !may_send)
+  {
+    begin_attempt(choice);
+    return;
+  }
+  if (!m_context.backends.has_unlimited(make_choice_request(), now))
+  {
+    const auto waited = m_context.longest_time_limit[m_request.route->name] - time_left();
+    query->patience = longest_hold(m_request.route->objective, waited);
+  }
+  query->asker = m_context.settings.ip;
+  m_context.permits.ask(*query, [self = shared_from_this(), choice](const permit_decision& decision)
+                        { self->handle_permit(choice, decision); });
+}
+
+void request_exchange::handle_permit(const backend_choice& choice, const permit_decision& decision)
+{
+  if (m_ended)
+  {
+    return;
+  }
+  if (!decision.granted)
+  {
+    ++m_refused_permits;
+    m_context.metrics.add("permits_refused");
+    m_context.backends.put_off(choice, current_time() + decision.ask_again_in);
+    send_next();
+    return;
+  }
+  m_context.metrics.add("permits_granted");
+  const auto use = [self = shared_from_this(), choice]
+  {
+    auto& backends = self->m_context.backends;
+    if (backends.address_of(choice.id) && backends.wants_requests(choice, current_time()))
+    {
+      self->begin_attempt(choice);
+      return;
+    }
+    self->send_next();
+  };
+  if (decision.send_in > milliseconds(0))
+  {
+    m_retry_timer.start(decision.send_in, use);
+    return;
+  }
+  use();
+}
+
+void request_exchange::begin_attempt(const backend_choice& choice)
+{
+  const auto now = current_time();
+  if (m_attempt_count == 0)
+  {
+    m_context.refusals[m_request.service].add(false, now);
+  }
+  else if (!m_context.budget(m_request.service).try_retry(now, m_context.possible_entries()))
   {
     m_last_reason += ", repeat budget used up";
     apply(final_action(make_retry_state(m_last_end)));
     return;
   }
-  send_to(*choice);
+  send_to(choice);
 }
 
 void request_exchange::send_to(const backend_choice& choice)
 {
   ++m_attempt_count;
+  m_refused_permits = 0;
   m_server = choice;
   m_tried_servers.insert(choice.id);
   m_head = {};
@@ -469,10 +540,12 @@
     log_warning(log_category::requests, "limit of a backend server cannot be read",
                 {{"server", m_server.id}, {"value", notice.unreadable_limit}});
   }
-  if (notice.limit && m_context.backends.name_limit(m_server.id, m_server.started_ms,
-                                                    *notice.limit, m_sent_at, now))
+  if (notice.limit && m_context.backends.name_limit(m_server.id, m_server.started_ms, *notice.limit,
+                                                    m_sent_at, now))
   {
     m_context.metrics.add("server_limits");
+    m_context.tell_entries(peers::server_limit{
+        .server = m_server.id, .started_ms = m_server.started_ms, .per_second = *notice.limit});
   }
 }
 
@@ -484,6 +557,8 @@
       m_context.backends.end_limit(m_server.id, m_server.started_ms, m_sent_at))
   {
     m_context.metrics.add("server_limits_ended");
+    m_context.tell_entries(peers::server_limit{
+        .server = m_server.id, .started_ms = m_server.started_ms, .ended = true});
   }
   const auto* type = head.find("Content-Type");
   m_relaying_events = head.status == 200 && m_request.route->streaming && type != nullptr &&
@@ -554,7 +629,10 @@
   {
     return std::nullopt;
   }
-  auto choice = m_context.backends.choose(make_choice_request(), now);
+  // Whether a limited server has a permit is not known before it is asked for.
+  choice_request request = make_choice_request();
+  request.without_limited = true;
+  auto choice = m_context.backends.choose(request, now);
   const bool in_time = choice && choice->first_byte_ms < static_cast<double>(time_left().count());
   return in_time ? std::move(choice) : std::nullopt;
 }
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -75,6 +75,11 @@
   void note_proof();
   void refuse_quarantined();
   void retry();
+  /// Asks for a permit to send the request to a server that names a limit.
+  void ask_permit(const backend_choice& choice);
+  void handle_permit(const backend_choice& choice, const permit_decision& decision);
+  /// Sends the request, if the retry budget still allows it.
+  void begin_attempt(const backend_choice& choice);
   void end_trial();
   void send_to(const backend_choice& choice);
   void notify_agents() const;
@@ -140,6 +145,8 @@
   bool m_server_lost = false;
   bool m_in_trial = false;
   unsigned m_attempt_count = 0;
+  /// Permits that were refused since the last attempt.
+  unsigned m_refused_permits = 0;
   unsigned m_may_have_run = 0;
   attempt_end m_last_end = attempt_end::not_sent;
   std::string m_last_reason;
--- a/Source/Core/Gateway/ServerNotices.cpp
+++ b/Source/Core/Gateway/ServerNotices.cpp
@@ -96,8 +96,8 @@
   return true;
 }
 
-/// Answers overtake each other. The one to a request that was sent after the last answer had arrived
-/// is newer; of two others, the lower limit is the safe one.
+/// Answers overtake each other. The one to a request that was sent after the last answer had
+/// arrived is newer; of two others, the lower limit is the safe one.
 bool server_notices::name_limit(const std::string& id, std::uint64_t started_ms, double per_second,
                                 time_point asked, time_point now)
 {
@@ -130,6 +130,33 @@
   return found == nullptr ? std::nullopt : found->limit;
 }
 
+time_point server_notices::limit_heard(const std::string& id, std::uint64_t started_ms) const
+{
+  const notice* found = find(id, started_ms);
+  return found == nullptr ? time_point{} : found->limit_named;
+}
+
+void server_notices::put_off(const std::string& id, std::uint64_t started_ms, time_point until)
+{
+  if (find(id, started_ms) != nullptr)
+  {
+    m_notices.at(id).put_off_until = until;
+  }
+}
+
+std::optional<time_point>
+server_notices::closed_until(const std::string& id, std::uint64_t started_ms, time_point now) const
+{
+  const notice* found = find(id, started_ms);
+  if (found == nullptr)
+  {
+    return std::nullopt;
+  }
+  const time_point until =
+      found->limit ? std::max(found->paused_until, found->put_off_until) : found->paused_until;
+  return now < until ? std::optional(until) : std::nullopt;
+}
+
 bool server_notices::is_leaving(const std::string& id, std::uint64_t started_ms) const
 {
   const notice* found = find(id, started_ms);
--- a/Source/Core/Gateway/ServerNotices.h
+++ b/Source/Core/Gateway/ServerNotices.h
@@ -30,9 +30,9 @@
   bool begin_pause(const std::string& id, std::uint64_t started_ms, milliseconds length,
                    double random_fraction, time_point now);
 
-  /// The server takes so many requests a second from all callers together. `asked`: when the request
-  /// was sent whose answer says so. Returns false if that was known, or if a lower limit was named
-  /// since.
+  /// The server takes so many requests a second from all callers together. `asked`: when the
+  /// request was sent whose answer says so. Returns false if that was known, or if a lower limit
+  /// was named since.
   bool name_limit(const std::string& id, std::uint64_t started_ms, double per_second,
                   time_point asked, time_point now);
   /// The answer to a request that was sent at `asked` names no limit. Returns false if none was
@@ -42,6 +42,13 @@
   bool is_leaving(const std::string& id, std::uint64_t started_ms) const;
   /// Requests a second that the server takes; empty if it names no limit.
   std::optional<double> limit(const std::string& id, std::uint64_t started_ms) const;
+  /// When an answer or another entry last named the limit.
+  time_point limit_heard(const std::string& id, std::uint64_t started_ms) const;
+  /// No permit for a request to this limited server is to be had until then.
+  void put_off(const std::string& id, std::uint64_t started_ms, time_point until);
+  /// Until when the server gets no requests, for its pause or its limit; empty if it may get one.
+  std::optional<time_point> closed_until(const std::string& id, std::uint64_t started_ms,
+                                         time_point now) const;
   /// End of the pause of a server; empty if it takes requests.
   std::optional<time_point> paused_until(const std::string& id, std::uint64_t started_ms,
                                          time_point now) const;
@@ -58,6 +65,7 @@
     std::optional<double> limit;
     /// When an answer last named the limit.
     time_point limit_named{};
+    time_point put_off_until{};
   };
 
   const notice* find(const std::string& id, std::uint64_t started_ms) const;
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -51,10 +51,15 @@
                   { m_peers.send_notice(host, {.prompt_tokens = prompt_tokens}); },
                   {.tell_entries = [this](const peers::peer_message& message)
                    { m_peers.tell_entries(message); },
-                   .owns =
-                       [this](std::uint64_t key)
+                   .owns = [this](std::uint64_t key) { return m_peers.owns(key); },
+                   .tell_entry = [this](const std::string& ip, const peers::peer_message& message)
+                   { m_peers.tell_entry(ip, message); },
+                   .permit_owner = [this](std::string_view server)
+                   { return m_peers.permit_owner(server); },
+                   .may_issue =
+                       [this](std::string_view server)
                    {
-                     return m_peers.owns(key);
+                     return m_peers.may_issue(server);
                    }}),
         m_relay(make_relay_environment()),
         m_readiness(m_loop, [this](const auto& head, const auto& respond)
@@ -110,8 +115,8 @@
             .serve_weights = [this](const async_io::message_head& head,
                                     const async_io::http_listener::responder& respond)
             { m_relay.serve(head, respond); },
-            .on_entry_message = [this](const peers::peer_message& message)
-            { m_gateway.receive(message); },
+            .on_entry_message = [this](const peers::peer_message& message, const std::string& from)
+            { m_gateway.receive(message, from); },
             .quarantine_digest =
                 [this]
             {
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -73,7 +73,7 @@
              [this](const async_io::message_head& head,
                     const async_io::http_listener::responder& respond) { serve(head, respond); }),
       m_gossip_timer(loop), m_register_timer(loop), m_hosts_timer(loop), m_load_relay_timer(loop),
-      m_introduction_timer(loop)
+      m_introduction_timer(loop), m_permit_owners(settings.ip)
 {
 }
 
@@ -125,9 +125,15 @@
   }
 }
 
+void peer_service::observe_entries()
+{
+  m_permit_owners.observe(live(peers::peer_role::entry), current_time());
+}
+
 void peer_service::gossip()
 {
   m_table.beat();
+  observe_entries();
   send_gossip();
   const bool starting = current_time() - m_started < peers::fast_gossip_time;
   m_gossip_timer.start(starting ? peers::fast_gossip_interval : peers::gossip_interval,
@@ -171,6 +177,24 @@
   }
 }
 
+void peer_service::tell_entry(const std::string& ip, const peers::peer_message& message)
+{
+  m_udp.send(peers::encode_message(message), {ip, m_settings.peer_port});
+}
+
+std::optional<std::string> peer_service::permit_owner(std::string_view server)
+{
+  observe_entries();
+  std::string owner = m_permit_owners.owner(server);
+  return owner.empty() || owner == m_settings.ip ? std::nullopt : std::optional(std::move(owner));
+}
+
+bool peer_service::may_issue(std::string_view server)
+{
+  observe_entries();
+  return m_permit_owners.is_settled(server, current_time());
+}
+
 bool peer_service::owns(std::uint64_t key) const
 {
   std::vector<std::string> entries;
@@ -274,7 +298,7 @@
   }
   if (m_handlers.on_entry_message)
   {
-    m_handlers.on_entry_message(*message);
+    m_handlers.on_entry_message(*message, from.ip);
   }
 }
 
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "AsyncIo/EventLoop.h"
@@ -11,6 +12,7 @@
 #include "AsyncIo/HttpListener.h"
 #include "AsyncIo/UdpSocket.h"
 #include "Common/BootClock.h"
+#include "Peers/KeyOwner.h"
 #include "Peers/LoadRelay.h"
 #include "Peers/PeerTable.h"
 #include "Protocol/NodeSettings.h"
@@ -41,7 +43,8 @@
   std::function<void(const async_io::message_head&, const async_io::http_listener::responder&)>
       serve_weights;
   /// What other entries tell of backend servers; empty at agents.
-  std::function<void(const peers::peer_message&)> on_entry_message = nullptr;
+  std::function<void(const peers::peer_message&, const std::string& from)> on_entry_message =
+      nullptr;
   std::function<std::optional<peers::quarantine_digest>()> quarantine_digest = nullptr;
 };
 
@@ -60,6 +63,11 @@
   void send_load(const peers::load_message& load);
   void send_notice(const std::string& agent_ip, const peers::send_notice& notice);
   void tell_entries(const peers::peer_message& message);
+  void tell_entry(const std::string& ip, const peers::peer_message& message);
+  /// Entry that issues the permits of a server; empty if it is this one or none is live.
+  std::optional<std::string> permit_owner(std::string_view server);
+  /// Whether this entry issues them, and no other one can still do so.
+  bool may_issue(std::string_view server);
   /// Whether this entry is the one among the live entries that is responsible for the key.
   bool owns(std::uint64_t key) const;
   void send_announcement(const std::string& agent_ip, const peers::piece_announcement& news);
@@ -104,6 +112,8 @@
   void greet_all();
   void await_introduction();
   bool is_introduced() const;
+  /// Permits are assigned by the entries that are live now.
+  void observe_entries();
   void pass_on(const peers::load_message& load);
   void send_to_own_domain(const peers::peer_message& message);
   void send_load_batches();
@@ -131,6 +141,7 @@
   /// Processes that started at once read the list at different times.
   double m_hosts_read_jitter = 1;
   bool m_registering = false;
+  peers::key_owner m_permit_owners;
 };
 
 } // namespace pollenyoke::node
--- /dev/null
+++ b/Source/Core/Peers/KeyOwner.cpp
@@ -0,0 +1,64 @@
+#include "Peers/KeyOwner.h"
+
+#include <utility>
+
+#include "Common/Rendezvous.h"
+
+namespace pollenyoke::peers
+{
+
+key_owner::key_owner(std::string self) : m_self(std::move(self)) {}
+
+void key_owner::observe(std::span<const peer_record> live, time_point now)
+{
+  if (now - m_observed > max_observation_gap)
+  {
+    m_steady_since = now;
+  }
+  m_observed = now;
+  for (const peer_record& entry : live)
+  {
+    m_last_live[entry.ip] = now;
+  }
+  std::erase_if(m_last_live,
+                [now](const auto& entry) { return now - entry.second > owner_settle_time; });
+}
+
+std::string key_owner::owner(std::string_view key) const
+{
+  std::string best;
+  std::uint64_t best_score = 0;
+  for (const auto& [ip, last_live] : m_last_live)
+  {
+    const std::uint64_t score = rendezvous_score(key, ip);
+    if (last_live == m_observed && (best.empty() || score > best_score))
+    {
+      best = ip;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+bool key_owner::is_settled(std::string_view key, time_point now) const
+{
+  const auto self = m_last_live.find(m_self);
+  if (self == m_last_live.end() || self->second != m_observed ||
+      now - m_observed > max_observation_gap || now - m_steady_since < owner_settle_time)
+  {
+    return false;
+  }
+  const std::uint64_t own_score = rendezvous_score(key, m_self);
+  for (const auto& [ip, last_live] : m_last_live)
+  {
+    // Of equal scores the first address wins, as in owner().
+    const std::uint64_t score = rendezvous_score(key, ip);
+    if (score > own_score || (score == own_score && ip < m_self))
+    {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace pollenyoke::peers
--- a/Source/Core/Peers/PeerMessages.h
+++ b/Source/Core/Peers/PeerMessages.h
@@ -247,9 +247,60 @@
   }
 };
 
+/// Tells other entries that a server names a limit of requests a second, or none any more.
+struct server_limit
+{
+  std::string server;
+  /// Start of the server, Unix time in ms; 0 if unknown.
+  std::uint64_t started_ms = 0;
+  bool ended = false;
+  double per_second = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(server, started_ms, ended, per_second);
+  }
+};
+
+/// Asks the entry that hands out the requests of a limited server for one of them.
+struct permit_request
+{
+  std::uint64_t number = 0;
+  std::string server;
+  std::uint64_t started_ms = 0;
+  /// Requests a second that the server takes, as the sender heard so long ago.
+  double limit = 0;
+  std::uint32_t heard_ago_ms = 0;
+  /// The request can wait for so long before it is sent.
+  std::uint32_t patience_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(number, server, started_ms, limit, heard_ago_ms, patience_ms);
+  }
+};
+
+/// Answer to the `permit_request` of this number.
+struct permit_answer
+{
+  std::uint64_t number = 0;
+  bool granted = false;
+  /// Granted: time until the request is sent; otherwise until the sender asks again.
+  std::uint32_t after_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(number, granted, after_ms);
+  }
+};
+
 using peer_message =
     std::variant<gossip_message, load_message, send_notice, piece_announcement, crash_report,
-                 content_clearance, quarantine_digest, server_leaving, load_batch>;
+                 content_clearance, quarantine_digest, server_leaving, load_batch, server_limit,
+                 permit_request, permit_answer>;
 
 std::string encode_message(const peer_message& message);
 result<peer_message> decode_message(std::string_view datagram);
--- a/Source/Core/Protocol/ServingModel.h
+++ b/Source/Core/Protocol/ServingModel.h
@@ -164,7 +164,8 @@
   std::optional<std::chrono::milliseconds> pause;
   /// Text that should state a pause and does not; empty if there is none.
   std::string unreadable_pause;
-  /// Requests a second that it takes from all callers together; empty if no readable limit is named.
+  /// Requests a second that it takes from all callers together; empty if no readable limit is
+  /// named.
   std::optional<double> limit;
   /// Text that should state a limit and does not; empty if there is none.
   std::string unreadable_limit;
--- a/Source/Emulator/BackendServer.cpp
+++ b/Source/Emulator/BackendServer.cpp
@@ -231,8 +231,7 @@
 
 void backend_server::set_limit(std::optional<double> per_second)
 {
-  m_environment.record.seen().limit_words.push_back(
-      {m_id, m_environment.record.now(), per_second});
+  m_environment.record.seen().limit_words.push_back({m_id, m_environment.record.now(), per_second});
   m_words->limit = per_second ? std::to_string(*per_second) : std::string{};
 }
 
--- a/Source/Emulator/Checks.cpp
+++ b/Source/Emulator/Checks.cpp
@@ -804,6 +804,31 @@
   return out;
 }
 
+limit_use measure_limit_use(const history& seen)
+{
+  constexpr double hearing_time = 1;
+  limit_use out;
+  for (auto word = seen.limit_words.begin(); word != seen.limit_words.end(); ++word)
+  {
+    const auto next =
+        std::find_if(word + 1, seen.limit_words.end(),
+                     [word](const limit_word& later) { return later.server == word->server; });
+    const moment from = word->at + hearing_time;
+    const moment to = next == seen.limit_words.end() ? seen.end : next->at;
+    if (word->per_second.value_or(0) <= 0 || to <= from)
+    {
+      continue;
+    }
+    const auto arrived =
+        std::count_if(seen.arrivals.begin(), seen.arrivals.end(),
+                      [word, from, to](const arrival& came)
+                      { return came.server == word->server && from <= came.at && came.at < to; });
+    out.arrived += static_cast<double>(arrived);
+    out.allowed += *word->per_second * (to - from);
+  }
+  return out;
+}
+
 bool in_touch(const history& seen, const std::string& machine, moment at, const rule_bounds& bounds)
 {
   const moment from = at - bounds.stability_window;
--- a/Source/Emulator/Checks.h
+++ b/Source/Emulator/Checks.h
@@ -65,6 +65,15 @@
 };
 leaving_times measure_leaving_times(const history& seen, const rule_bounds& bounds);
 
+/// Requests that servers got while they named a limit above 0, and those that the limits allowed. The
+/// first second of each limit, in which hosts hear of it, does not count.
+struct limit_use
+{
+  double arrived = 0;
+  double allowed = 0;
+};
+limit_use measure_limit_use(const history& seen);
+
 /// True if nothing disturbed the machine or the store in the window before `at`, and no stop of the
 /// machine was asked for.
 bool in_touch(const history& seen, const std::string& machine, moment at,
--- a/Source/Emulator/Soak.cpp
+++ b/Source/Emulator/Soak.cpp
@@ -173,6 +173,7 @@
     }
     out.violations = find_violations(seen, m_bounds);
     out.leaving = measure_leaving_times(seen, m_bounds);
+    out.limits = measure_limit_use(seen);
     const bool kept_up = m_run.longest_delay() <= tolerated_delay;
     const bool broken =
         std::any_of(out.violations.begin(), out.violations.end(),
@@ -216,22 +217,24 @@
 
 std::string to_json(const soak_report& report)
 {
-  nlohmann::ordered_json out{{"seed", report.seed},
-                             {"duration_s", report.duration},
-                             {"processes", report.processes},
-                             {"requests", report.requests},
-                             {"served", report.served},
-                             {"refused", report.refused},
-                             {"gave_up", report.gave_up},
-                             {"faults", report.faults},
-                             {"origin_copies", report.origin_copies},
-                             {"longest_delay_ms", report.longest_delay_ms},
-                             {"leaving_s",
-                              {{"store_up", report.leaving.store_up},
-                               {"store_disturbed", report.leaving.store_disturbed}}},
-                             {"verdict", to_string(report.verdict)},
-                             {"violations", report.violations.size()},
-                             {"first_violation", nullptr}};
+  nlohmann::ordered_json out{
+      {"seed", report.seed},
+      {"duration_s", report.duration},
+      {"processes", report.processes},
+      {"requests", report.requests},
+      {"served", report.served},
+      {"refused", report.refused},
+      {"gave_up", report.gave_up},
+      {"faults", report.faults},
+      {"origin_copies", report.origin_copies},
+      {"longest_delay_ms", report.longest_delay_ms},
+      {"leaving_s",
+       {{"store_up", report.leaving.store_up},
+        {"store_disturbed", report.leaving.store_disturbed}}},
+      {"limits", {{"arrived", report.limits.arrived}, {"allowed", report.limits.allowed}}},
+      {"verdict", to_string(report.verdict)},
+      {"violations", report.violations.size()},
+      {"first_violation", nullptr}};
   if (!report.violations.empty())
   {
     out["first_violation"] =
--- a/Source/Emulator/Soak.h
+++ b/Source/Emulator/Soak.h
@@ -45,6 +45,7 @@
   soak_verdict verdict = soak_verdict::not_run;
   std::vector<violation> violations;
   leaving_times leaving;
+  limit_use limits;
 };
 
 /// Runs the system on the emulated platform for a while and checks what was seen. Errors as of
--- a/Source/UnitTests/Emulator/ChecksTest.cpp
+++ b/Source/UnitTests/Emulator/ChecksTest.cpp
@@ -156,9 +156,9 @@
   /// that passed it on.
   void requests_beyond_a_limit_are_those_of_machines_that_were_told()
   {
-    const auto beyond = std::find_if(altered_histories().begin(), altered_histories().end(),
-                                     [](const altered_history& altered)
-                                     { return altered.rule == "LIMIT"; });
+    const auto beyond =
+        std::find_if(altered_histories().begin(), altered_histories().end(),
+                     [](const altered_history& altered) { return altered.rule == "LIMIT"; });
     CPPUNIT_ASSERT(beyond != altered_histories().end());
     history told = make_sound_history();
     beyond->alter(told);
