Emulator: a server that crashes withdraws its limit

The trace: the server crashed at 42.9 s, came back under its id at 43.6 s, and its answers named no limit until 44.7 s, as those of a new instance do; its requests of that second were counted against the limit of the instance before. The crash now ends the limit in the history.

--- a/Source/Emulator/BackendServer.cpp
+++ b/Source/Emulator/BackendServer.cpp
@@ -188,6 +188,11 @@
   // A server that has said that it leaves does not come back under its id.
   const bool returns_as_itself = keeps_id && !m_words->leaving;
   m_up = false;
+  if (!m_words->limit.empty())
+  {
+    // The next instance names none, also under the same id.
+    set_limit({});
+  }
   lose_power();
   m_server.set_fault(meanwhile);
   m_later.clear();
