Emulator: the store comes back from older copies; tests of CONFIG after a restore

The emulator's store keeps copies of its last 20 s, is away for a moment and comes back from one of them: records are gone, offsets are given out again, a read from one that it does not have gets 410, and `Store-Era` rises. The operator and the servers write their part again within 1.6 s. Node.RestoredStore drives twenty processes with a store stand-in that does the same.

--- a/Source/Core/AsyncIo/HttpListener.cpp
+++ b/Source/Core/AsyncIo/HttpListener.cpp
@@ -100,7 +100,13 @@
       return;
     }
     answering = false;
-    connection->write(make_response(answer.status, answer.content_type, answer.body, keep));
+    std::string fields;
+    for (const header_field& field : answer.fields)
+    {
+      append_field(fields, field.name, field.value);
+    }
+    connection->write(
+        make_response(answer.status, answer.content_type, answer.body, keep, fields));
     if (!keep)
     {
       connection->close_when_sent();
--- a/Source/Core/AsyncIo/HttpListener.h
+++ b/Source/Core/AsyncIo/HttpListener.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "AsyncIo/HttpMessage.h"
 #include "AsyncIo/TcpConnection.h"
@@ -15,6 +16,8 @@
   unsigned status = 200;
   std::string content_type;
   std::string body;
+  /// Further header fields.
+  std::vector<header_field> fields = {};
 };
 
 /// Serves small whole requests: readiness checks, lookups and calls of peers.
--- a/Source/Emulator/Checks.h
+++ b/Source/Emulator/Checks.h
@@ -65,8 +65,8 @@
 };
 leaving_times measure_leaving_times(const history& seen, const rule_bounds& bounds);
 
-/// Requests that servers got while they named a limit above 0, and those that the limits allowed. The
-/// first second of each limit, in which hosts hear of it, does not count.
+/// Requests that servers got while they named a limit above 0, and those that the limits allowed.
+/// The first second of each limit, in which hosts hear of it, does not count.
 struct limit_use
 {
   double arrived = 0;
--- a/Source/Emulator/FaultInjector.cpp
+++ b/Source/Emulator/FaultInjector.cpp
@@ -86,6 +86,7 @@
     {fault_kind::server_silent, &fault_injector::silence_server},
     {fault_kind::load_disturbed, &fault_injector::disturb_load},
     {fault_kind::server_limited, &fault_injector::limit_server},
+    {fault_kind::store_restored, &fault_injector::restore_store},
 };
 
 fault_injector::fault_injector(async_io::event_loop& loop, platform_run& run,
@@ -317,6 +318,22 @@
   choose_server(fault).fall_silent(duration_cast<milliseconds>(to_time(length)));
 }
 
+void fault_injector::restore_store(const planned_fault& fault)
+{
+  constexpr milliseconds min_copy_age{500};
+  constexpr milliseconds max_copy_age{12000};
+  const auto copy_age =
+      min_copy_age + duration_cast<milliseconds>((max_copy_age - min_copy_age) * fault.share);
+  disturb(std::string(store_scope), fault.duration);
+  m_run.store().set_fault_for_all(pick(ways_to_be_away, fault.choice));
+  after(fault.duration,
+        [this, copy_age]
+        {
+          m_run.store().set_fault_for_all(store_fault::none);
+          m_run.store().restore(copy_age);
+        });
+}
+
 /// No disturbance: a server in need does so. An instance that starts meanwhile names no limit until
 /// the next step.
 void fault_injector::limit_server(const planned_fault& fault)
--- a/Source/Emulator/FaultPlan.cpp
+++ b/Source/Emulator/FaultPlan.cpp
@@ -33,6 +33,8 @@
 constexpr double mean_limit_gap_s = 7;
 constexpr double min_limit_time_s = 9;
 constexpr double max_limit_time_s = 20;
+constexpr double mean_restore_gap_s = 14;
+constexpr std::uint64_t restore_stream = 0x8ebc6af09c88c6e3U;
 constexpr std::uint64_t limit_stream = 0xa0761d6478bd642fU;
 constexpr std::uint64_t load_stream = 0xd1b54a32d192ed03U;
 constexpr std::uint64_t notice_stream = 0x9e3779b97f4a7c15U;
@@ -47,7 +49,7 @@
   unsigned weight;
 };
 
-constexpr std::array<named_fault, 32> faults = {{
+constexpr std::array<named_fault, 33> faults = {{
     {fault_kind::kill_processes, "kill_processes", 4},
     {fault_kind::kill_all, "kill_all", 0},
     {fault_kind::stop_process, "stop_process", 4},
@@ -78,6 +80,7 @@
     {fault_kind::impatient_callers, "impatient_callers", 1},
     {fault_kind::server_wants_pause, "server_wants_pause", 0},
     {fault_kind::server_silent, "server_silent", 0},
+    {fault_kind::store_restored, "store_restored", 0},
     {fault_kind::server_limited, "server_limited", 0},
     {fault_kind::load_disturbed, "load_disturbed", 0},
 }};
@@ -115,6 +118,21 @@
   }
 }
 
+void add_restores(std::vector<planned_fault>& plan, std::uint64_t seed, double last)
+{
+  std::mt19937_64 random(seed ^ restore_stream);
+  std::exponential_distribution<double> gap(1 / mean_restore_gap_s);
+  std::uniform_real_distribution<double> fraction(0, 1);
+  for (double at = first_fault_s + gap(random); at < last; at += gap(random))
+  {
+    plan.push_back({.kind = fault_kind::store_restored,
+                    .at = at,
+                    .duration = min_duration_s + fraction(random) * 2,
+                    .share = fraction(random),
+                    .choice = random()});
+  }
+}
+
 void add_limits(std::vector<planned_fault>& plan, std::uint64_t seed, double last)
 {
   std::mt19937_64 random(seed ^ limit_stream);
@@ -180,6 +198,7 @@
   add_notices(plan, seed, last);
   add_disturbed_loads(plan, seed, last);
   add_limits(plan, seed, last);
+  add_restores(plan, seed, last);
   std::stable_sort(plan.begin(), plan.end(),
                    [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
   if (loses_all)
--- a/Source/Emulator/FaultPlan.h
+++ b/Source/Emulator/FaultPlan.h
@@ -42,6 +42,8 @@
   impatient_callers,
   server_wants_pause,
   server_silent,
+  /// The store is away for a moment and comes back from an older copy.
+  store_restored,
   /// A server names a limit, changes it, spoils it and withdraws it.
   server_limited,
   /// An agent stands still, or its engine falls silent, while it reads staged pieces back; some of
--- a/Source/Emulator/LogStore.cpp
+++ b/Source/Emulator/LogStore.cpp
@@ -88,7 +88,7 @@
 
 result<std::string> log_partition::read(std::uint64_t from, std::size_t max_bytes) const
 {
-  if (from < m_first)
+  if (from < m_first || from > end())
   {
     return fail(error_code::expired, "records were deleted");
   }
--- a/Source/Emulator/LogStore.h
+++ b/Source/Emulator/LogStore.h
@@ -39,7 +39,7 @@
   /// of a keyed topic without a key.
   result<std::uint64_t> append(std::vector<std::string> records);
   /// Records from `from` on, each behind four bytes of length, after the end and the first
-  /// retained offset. Error `expired`: the records were deleted.
+  /// retained offset. Error `expired`: the records were deleted, or there are none up to `from`.
   result<std::string> read(std::uint64_t from, std::size_t max_bytes) const;
   newest_page newest(std::string_view after) const;
   void trim(std::uint64_t before);
--- a/Source/Emulator/StoreService.cpp
+++ b/Source/Emulator/StoreService.cpp
@@ -1,6 +1,7 @@
 #include "Emulator/StoreService.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -20,6 +21,14 @@
 constexpr milliseconds slow_delay{400};
 constexpr milliseconds max_wait{30000};
 constexpr std::size_t default_read_bytes = 1U << 20U;
+constexpr std::string_view json_type = platform::names::json_type;
+constexpr milliseconds copy_interval{500};
+// The oldest copy from which the store can come back.
+constexpr std::size_t max_copies = 40;
+// The operator and the backend servers notice the loss, and write what was lost again, in this
+// time.
+constexpr milliseconds first_rewrite{50};
+constexpr milliseconds rewrite_spread{1500};
 
 std::uint64_t number_parameter(const http_request& request, std::string_view name,
                                std::uint64_t fallback)
@@ -29,13 +38,6 @@
   return value;
 }
 
-std::string json_fields()
-{
-  std::string out;
-  async_io::append_field(out, "Content-Type", platform::names::json_type);
-  return out;
-}
-
 /// Calls that count towards the limit of writes.
 bool is_write(std::string_view path)
 {
@@ -51,6 +53,71 @@
       m_writes(limits.writes_per_s, limits.writes_per_s, std::chrono::steady_clock::now()),
       m_random(seed), m_later(loop)
 {
+  keep_copies();
+}
+
+void store_service::keep_copies()
+{
+  const auto now = std::chrono::steady_clock::now();
+  m_copies.push_back({now, m_log});
+  if (m_copies.size() > max_copies)
+  {
+    m_copies.pop_front();
+  }
+  while (!m_journal.empty() && m_journal.front().at < m_copies.front().at)
+  {
+    m_journal.pop_front();
+  }
+  m_later.after(copy_interval, [this] { keep_copies(); });
+}
+
+void store_service::restore(milliseconds copy_age)
+{
+  const auto now = std::chrono::steady_clock::now();
+  while (m_copies.size() > 1 && m_copies.back().at > now - copy_age)
+  {
+    m_copies.pop_back();
+  }
+  m_log = m_copies.back().log;
+  ++m_era;
+  for (const pending_read& read : std::exchange(m_pending, {}))
+  {
+    read.reply->reset();
+  }
+  const auto lost_from = m_copies.back().at;
+  std::uniform_int_distribution<std::int64_t> spread(0, rewrite_spread.count());
+  m_later.after(first_rewrite + milliseconds(spread(m_random)),
+                [this, lost_from, now] { write_again(lost_from, now); });
+}
+
+/// Each key gets what was written last, unless it was written since.
+void store_service::write_again(std::chrono::steady_clock::time_point from,
+                                std::chrono::steady_clock::time_point to)
+{
+  std::map<std::pair<std::string, std::string>, journal_entry> last;
+  for (const journal_entry& entry : m_journal)
+  {
+    last.insert_or_assign({entry.topic, entry.key}, entry);
+  }
+  for (const auto& [name, entry] : last)
+  {
+    if (from <= entry.at && entry.at <= to && !put(entry.topic, entry.key, entry.value))
+    {
+      m_later.after(rewrite_spread, [this, from, to] { write_again(from, to); });
+      return;
+    }
+  }
+}
+
+std::string store_service::fields(std::string_view more) const
+{
+  std::string out;
+  async_io::append_field(out, platform::names::store_era, std::to_string(m_era));
+  if (!more.empty())
+  {
+    async_io::append_field(out, "Content-Type", more);
+  }
+  return out;
 }
 
 result<void> store_service::add_machine(const std::string& machine,
@@ -105,8 +172,9 @@
   return m_log.partition(topic, 0)
       .append({make_keyed_content(key, value)})
       .map(
-          [this, &topic](std::uint64_t offset)
+          [this, &topic, key, &value](std::uint64_t offset)
           {
+            m_journal.push_back({std::chrono::steady_clock::now(), topic, std::string(key), value});
             notify(topic, 0);
             return offset;
           });
@@ -132,17 +200,17 @@
   token_bucket& limit = is_write(async_io::path_of(request.head.target)) ? m_writes : m_reads;
   if (!limit.try_take(1, std::chrono::steady_clock::now()))
   {
-    reply->send(429, {}, {});
+    reply->send(429, fields(), {});
     return;
   }
   const store_fault fault = fault_of(m_machines.at(machine));
   switch (fault)
   {
   case store_fault::refuses:
-    reply->send(503, {}, {});
+    reply->send(503, fields(), {});
     return;
   case store_fault::busy:
-    reply->send(429, {}, {});
+    reply->send(429, fields(), {});
     return;
   case store_fault::silent:
     return;
@@ -188,10 +256,10 @@
     const std::string topic = query_parameter(request.head.target, "topic");
     m_log.partition(topic, static_cast<unsigned>(number_parameter(request, "part", 0)))
         .trim(number_parameter(request, "before", 0));
-    reply->send(200, json_fields(), "{}");
+    reply->send(200, fields(json_type), "{}");
     return;
   }
-  reply->send(404, {}, {});
+  reply->send(404, fields(), {});
 }
 
 void store_service::append(const http_request& request, const std::shared_ptr<http_reply>& reply,
@@ -200,7 +268,7 @@
   const std::string topic = query_parameter(request.head.target, "topic");
   if (topic == platform::names::operator_topic || topic == platform::names::backend_topic)
   {
-    reply->send(403, {}, {});
+    reply->send(403, fields(), {});
     return;
   }
   const auto part = static_cast<unsigned>(number_parameter(request, "part", 0));
@@ -208,7 +276,7 @@
   const std::uint64_t at = number_parameter(request, "at", partition.end());
   if (at != partition.end())
   {
-    reply->send(412, json_fields(), nlohmann::json{{"end", partition.end()}}.dump());
+    reply->send(412, fields(json_type), nlohmann::json{{"end", partition.end()}}.dump());
     return;
   }
   const auto offset = split_records(request.body)
@@ -216,7 +284,7 @@
                                     { return partition.append(std::move(records)); });
   if (!offset)
   {
-    reply->send(400, {}, {});
+    reply->send(400, fields(), {});
     return;
   }
   notify(topic, part);
@@ -225,7 +293,7 @@
     reply->reset();
     return;
   }
-  reply->send(200, json_fields(),
+  reply->send(200, fields(json_type),
               nlohmann::json{{"offset", *offset}, {"end", partition.end()}}.dump());
 }
 
@@ -235,7 +303,7 @@
   const auto part = static_cast<unsigned>(number_parameter(request, "part", 0));
   const newest_page page =
       m_log.partition(topic, part).newest(query_parameter(request.head.target, "after"));
-  reply->send(200, json_fields(), encode_newest_page(page));
+  reply->send(200, fields(json_type), encode_newest_page(page));
 }
 
 void store_service::read(const std::string& machine, const http_request& request,
@@ -255,7 +323,7 @@
   const milliseconds wait = std::min(
       max_wait, milliseconds(static_cast<std::int64_t>(number_parameter(request, "wait_ms", 0))));
   const log_partition& partition = m_log.partition(topic, wanted.part);
-  if (wait.count() == 0 || wanted.from < partition.end())
+  if (wait.count() == 0 || wanted.from != partition.end())
   {
     answer_read(wanted);
     return;
@@ -287,10 +355,10 @@
   const auto body = partition.read(read.from, read.max_bytes);
   if (!body)
   {
-    read.reply->send(410, json_fields(), nlohmann::json{{"first", partition.first()}}.dump());
+    read.reply->send(410, fields(json_type), nlohmann::json{{"first", partition.first()}}.dump());
     return;
   }
-  read.reply->send(200, {}, *body);
+  read.reply->send(200, fields(), *body);
 }
 
 void store_service::notify(const std::string& topic, unsigned part)
--- a/Source/Emulator/StoreService.h
+++ b/Source/Emulator/StoreService.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <chrono>
+#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -54,6 +56,9 @@
   /// The machine's connections to the store go silent or are refused.
   void set_connection_fault(const std::string& machine, connection_fault fault);
   void forget_history();
+  /// The store comes back from a copy that is about as old; what was written since is gone, and its
+  /// era rises. The operator and the backend servers write their part again a little later.
+  void restore(std::chrono::milliseconds copy_age);
   /// Long reads of this topic are reset whenever they would have to wait.
   void set_resetting_topic(std::string topic);
 
@@ -81,6 +86,24 @@
     std::uint64_t number = 0;
   };
 
+  /// A write of the operator or a backend server.
+  struct journal_entry
+  {
+    std::chrono::steady_clock::time_point at;
+    std::string topic;
+    std::string key;
+    std::optional<std::string> value;
+  };
+  struct copy
+  {
+    std::chrono::steady_clock::time_point at;
+    log_store log;
+  };
+
+  void keep_copies();
+  void write_again(std::chrono::steady_clock::time_point from,
+                   std::chrono::steady_clock::time_point to);
+  std::string fields(std::string_view more = {}) const;
   store_fault fault_of(const machine_state& machine);
   void handle(const std::string& machine, const http_request& request,
               const std::shared_ptr<http_reply>& reply);
@@ -103,6 +126,10 @@
   std::string m_resetting_topic;
   std::vector<pending_read> m_pending;
   std::uint64_t m_next_read = 0;
+  std::uint64_t m_era = 1;
+  /// Taken in regular intervals, oldest first.
+  std::deque<copy> m_copies;
+  std::deque<journal_entry> m_journal;
   delayed_calls m_later;
 };
 
--- a/Source/UnitTests/Node/StateFleetTest.cpp
+++ b/Source/UnitTests/Node/StateFleetTest.cpp
@@ -78,11 +78,30 @@
     }
   }
 
+  /// Drops the newest records of a topic, as a store does that comes back from an older copy.
+  void restore(std::string_view topic, std::size_t lost)
+  {
+    auto& log = m_topics[std::string(topic)];
+    log.resize(log.size() - lost);
+    ++m_era;
+    const auto pending = std::move(m_pending);
+    m_pending.clear();
+    for (const auto& [head, respond] : pending)
+    {
+      respond({.status = 503});
+    }
+  }
+
   std::size_t sent_configurations = 0;
 
 private:
-  void serve(const message_head& head, const async_io::http_listener::responder& respond)
+  void serve(const message_head& head, const async_io::http_listener::responder& with_fields)
   {
+    const auto respond = [this, with_fields](async_io::simple_answer answer)
+    {
+      answer.fields.push_back({"Store-Era", std::to_string(m_era)});
+      with_fields(std::move(answer));
+    };
     const auto path = async_io::path_of(head.target);
     if (path == "/v1/log-newest")
     {
@@ -120,7 +139,12 @@
     const auto& log = m_topics[query_parameter(head.target, "topic")];
     std::uint64_t from = 0;
     CPPUNIT_ASSERT(async_io::parse_number(query_parameter(head.target, "from"), from));
-    if (from >= log.size() && query_parameter(head.target, "wait_ms") != "0")
+    if (from > log.size())
+    {
+      respond({.status = 410});
+      return;
+    }
+    if (from == log.size() && query_parameter(head.target, "wait_ms") != "0")
     {
       m_pending.emplace_back(head, respond);
       return;
@@ -144,6 +168,7 @@
 
   async_io::http_listener m_listener;
   std::map<std::string, std::vector<record>> m_topics;
+  std::uint64_t m_era = 1;
   std::vector<std::pair<message_head, async_io::http_listener::responder>> m_pending;
 };
 
@@ -165,6 +190,11 @@
     const auto found = m_records.find(std::string(platform::names::config_key));
     return found == m_records.end() ? std::string{} : found->second;
   }
+  std::string record_of(const std::string& key) const
+  {
+    const auto found = m_records.find(key);
+    return found == m_records.end() ? std::string{} : found->second;
+  }
   bool knows_all(std::size_t processes) const
   {
     return m_peers.live(peers::peer_role::entry).size() +
@@ -210,11 +240,8 @@
             },
             .readers = [this] { return m_peers.readers(); },
             .next_peer = [this] { return m_peers.next_peer(); },
-            .ask =
-                [this](const std::string& ip, const changes_request& request, auto done)
-            {
-              m_peers.ask_changes(ip, request, {}, std::move(done));
-            }};
+            .ask = [this](const std::string& ip, const changes_request& request, auto done)
+            { m_peers.ask_changes(ip, request, {}, std::move(done)); }};
   }
 
   protocol::node_settings m_settings;
@@ -232,6 +259,7 @@
   CPPUNIT_TEST(start_of_all_processes_reads_the_state_few_times);
   CPPUNIT_TEST_SUITE_END();
 
+protected:
   static constexpr std::size_t entry_count = 8;
   static constexpr std::size_t agent_count = 12;
   // Copies of one configuration that leave the store for one failure domain: as many as readers are
@@ -372,6 +400,90 @@
   }
 };
 
+/// A store that comes back from an older copy, so that offsets go back and are given out again.
+class restored_store_test : public state_fleet_test
+{
+  CPPUNIT_TEST_SUITE(restored_store_test);
+  CPPUNIT_TEST(configuration_written_after_a_restore_is_applied_by_all);
+  CPPUNIT_TEST(topic_that_has_grown_past_its_old_end_is_read_whole);
+  CPPUNIT_TEST(process_that_starts_after_a_restore_gets_what_the_copy_lacks);
+  CPPUNIT_TEST(restores_in_short_succession);
+  CPPUNIT_TEST_SUITE_END();
+
+  void lose(std::size_t records)
+  {
+    m_store->restore(platform::names::operator_topic, records);
+  }
+
+  void publish_often(int times)
+  {
+    for (int i = 0; i < times; ++i)
+    {
+      publish();
+    }
+    run_until([this] { return all_have_newest(); });
+  }
+
+public:
+  /// Guards against CONFIG: a configuration at an offset that was read before is taken for old.
+  void configuration_written_after_a_restore_is_applied_by_all()
+  {
+    publish_often(6);
+    lose(4);
+    run_for(milliseconds(300));
+    publish();
+    run_until([this] { return all_have_newest(); });
+  }
+
+  void topic_that_has_grown_past_its_old_end_is_read_whole()
+  {
+    publish_often(3);
+    lose(2);
+    m_store->put(platform::names::operator_topic, "version/m1", "2");
+    for (int i = 0; i < 4; ++i)
+    {
+      m_store->put(platform::names::operator_topic, "version/m2", std::to_string(i));
+    }
+    publish();
+    run_until([this] { return all_have_newest(); });
+    run_until(
+        [this]
+        {
+          return std::all_of(m_processes.begin(), m_processes.end(),
+                             [](const auto& process)
+                             { return process->record_of("version/m1") == "2"; });
+        });
+  }
+
+  /// The operator has not written the lost configuration again yet.
+  void process_that_starts_after_a_restore_gets_what_the_copy_lacks()
+  {
+    publish_often(6);
+    lose(4);
+    run_for(milliseconds(1500));
+    CPPUNIT_ASSERT(all_have_newest());
+    for (const std::size_t restarted : {std::size_t{3}, entry_count + 2})
+    {
+      m_processes[restarted] = nullptr;
+      start(restarted);
+    }
+    run_until([this] { return all_have_newest(); });
+  }
+
+  void restores_in_short_succession()
+  {
+    publish_often(8);
+    lose(3);
+    run_for(milliseconds(200));
+    publish();
+    lose(4);
+    run_for(milliseconds(100));
+    publish();
+    run_until([this] { return all_have_newest(); });
+  }
+};
+
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(state_fleet_test, "Node.StateFleet");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(restored_store_test, "Node.RestoredStore");
 
 } // namespace
