StateFeed: offsets of the store are compared within its era

After a restore the same offsets stand for other records, and new records have offsets that were read before.

Change: positions are pairs of `Store-Era` and offset, everywhere. A page of an earlier era is ignored, one of a later era makes the reader read the newest records of all keys, also where the topic has grown past the old end; the read of the other topic is replaced. Gossip carries the era, so that a process that hears of it from a peer asks at once. What was acknowledged and is missing in the copy: configurations and named versions stay in force, and are handed to processes that start, until the store has one that is not older; servers that the copy lacks have the 2.3 s of an outage to write again; those that had left or were leaving are not brought back by the copy. Hosts that had registered in the last minute register again.

New tests in StateFeed.TopicState and StateFeed.Follower.

--- a/Source/Core/AsyncIo/HttpListener.cpp
+++ b/Source/Core/AsyncIo/HttpListener.cpp
@@ -105,8 +105,7 @@
     {
       append_field(fields, field.name, field.value);
     }
-    connection->write(
-        make_response(answer.status, answer.content_type, answer.body, keep, fields));
+    connection->write(make_response(answer.status, answer.content_type, answer.body, keep, fields));
     if (!keep)
     {
       connection->close_when_sent();
--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -65,8 +65,9 @@
 private:
   peer_handlers make_peer_handlers()
   {
-    return {.operator_offset = [this] { return m_feed.operator_offset(); },
-            .on_peer_offset = [this](std::uint64_t offset) { m_feed.note_peer_offset(offset); },
+    return {.operator_position = [this] { return m_feed.operator_position(); },
+            .on_peer_position = [this](const state_feed::log_position& position)
+            { m_feed.note_peer_position(position); },
             .version_ages = [] { return std::vector<peers::version_age>{}; },
             .on_version_ages = [](const std::vector<peers::version_age>&) {},
             .on_load = [](const peers::load_message&) {},
@@ -109,7 +110,9 @@
           const std::string left_out =
               m_model.empty() ? std::string{} : std::string(platform::names::config_key);
           m_peers.ask_changes(ip, request, left_out, std::move(done));
-        }};
+        },
+        .on_store_restored = [this] { m_peers.register_again(); },
+        .is_older_operator_record = is_older_operator_record};
   }
 
   rollout::fetch_environment make_environment()
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -97,8 +97,9 @@
 private:
   peer_handlers make_peer_handlers()
   {
-    return {.operator_offset = [this] { return m_feed.operator_offset(); },
-            .on_peer_offset = [this](std::uint64_t offset) { m_feed.note_peer_offset(offset); },
+    return {.operator_position = [this] { return m_feed.operator_position(); },
+            .on_peer_position = [this](const state_feed::log_position& position)
+            { m_feed.note_peer_position(position); },
             .version_ages = [this] { return m_gateway.version_ages(); },
             .on_version_ages = [this](const std::vector<peers::version_age>& ages)
             { m_gateway.merge_version_ages(ages); },
@@ -168,11 +169,11 @@
             .on_initialized = [this] { m_peers.set_has_state(); },
             .readers = [this] { return m_peers.readers(); },
             .next_peer = [this] { return m_peers.next_peer(); },
-            .ask =
-                [this](const std::string& ip, const state_feed::changes_request& request, auto done)
-            {
-              m_peers.ask_changes(ip, request, {}, std::move(done));
-            }};
+            .ask = [this](const std::string& ip, const state_feed::changes_request& request,
+                          auto done) { m_peers.ask_changes(ip, request, {}, std::move(done)); },
+            .on_store_restored = [this] { m_peers.register_again(); },
+            .is_older_operator_record = is_older_operator_record,
+            .is_older_backend_record = is_older_backend_record};
   }
 
   void take_operator_record(const state_feed::record& change)
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -21,6 +21,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds registration_retry{1000};
+constexpr milliseconds register_again_delay{1000};
+// The store comes back from a copy that is some seconds old.
+constexpr std::chrono::seconds max_copy_age{60};
 constexpr milliseconds peer_answer_timeout{1000};
 // Time beyond its wait in which a reader in the same failure domain answers.
 constexpr milliseconds relay_margin{400};
@@ -147,7 +150,7 @@
 
 void peer_service::send_gossip_to(const std::vector<std::string>& hosts)
 {
-  send_to(hosts, m_table.make_message(m_handlers.operator_offset(), current_time()));
+  send_to(hosts, m_table.make_message(m_handlers.operator_position().offset, current_time()));
   send_digest_to(hosts);
 }
 
@@ -208,12 +211,13 @@
 
 void peer_service::greet(const std::vector<std::string>& hosts)
 {
-  send_to(hosts, m_table.make_greeting(m_handlers.operator_offset()));
+  send_to(hosts, m_table.make_greeting(m_handlers.operator_position().offset));
 }
 
 void peer_service::send_to(const std::vector<std::string>& hosts, peers::gossip_message message)
 {
   message.versions = m_handlers.version_ages();
+  message.operator_era = m_handlers.operator_position().era;
   const std::string datagram = peers::encode_message(message);
   for (const std::string& ip : hosts)
   {
@@ -265,7 +269,7 @@
     {
       send_gossip_to({from.ip});
     }
-    m_handlers.on_peer_offset(gossip->operator_offset);
+    m_handlers.on_peer_position({gossip->operator_era, gossip->operator_offset});
     m_handlers.on_version_ages(gossip->versions);
     return;
   }
@@ -432,9 +436,10 @@
   call.address = {ip, m_settings.peer_port};
   call.target = "/changes?topic=" + std::to_string(static_cast<int>(request.topic)) +
                 "&without=" + async_io::percent_encode(left_out);
-  if (request.offset)
+  if (request.from)
   {
-    call.target += "&offset=" + std::to_string(*request.offset);
+    call.target += "&era=" + std::to_string(request.from->era) +
+                   "&offset=" + std::to_string(request.from->offset);
   }
   call.target += request.may_wait ? "&wait=1" : "";
   call.timeout = request.may_wait ? state_feed::relay_wait + relay_margin : peer_answer_timeout;
@@ -458,10 +463,12 @@
                                  const async_io::http_listener::responder& respond)
 {
   std::uint64_t topic = 0;
-  std::uint64_t offset = 0;
+  state_feed::log_position from;
   const std::string offset_text = async_io::query_parameter(head.target, "offset");
+  const std::string era_text = async_io::query_parameter(head.target, "era");
   if (!async_io::parse_number(async_io::query_parameter(head.target, "topic"), topic) ||
-      (!offset_text.empty() && !async_io::parse_number(offset_text, offset)) ||
+      (!offset_text.empty() && (!async_io::parse_number(offset_text, from.offset) ||
+                                !async_io::parse_number(era_text, from.era))) ||
       topic > static_cast<std::uint64_t>(state_feed::record_topic::backend_servers))
   {
     respond({.status = 400});
@@ -469,7 +476,7 @@
   }
   const state_feed::changes_request request{
       static_cast<state_feed::record_topic>(topic),
-      offset_text.empty() ? std::nullopt : std::optional(offset),
+      offset_text.empty() ? std::nullopt : std::optional(from),
       !async_io::query_parameter(head.target, "wait").empty()};
   m_handlers.serve_changes(request, async_io::query_parameter(head.target, "without"),
                            [respond](std::string body) {
@@ -508,6 +515,7 @@
                    if (outcome)
                    {
                      m_registering = false;
+                     m_registered_at = current_time();
                      return;
                    }
                    log_warning(log_category::membership, "host not registered in the store",
@@ -516,6 +524,20 @@
                  });
 }
 
+/// A record that is older than the copy can be needs no second write. Those that are needed are
+/// spread over a moment.
+void peer_service::register_again()
+{
+  if (m_registering || !m_registered_at || current_time() - *m_registered_at > max_copy_age)
+  {
+    return;
+  }
+  m_registering = true;
+  const std::chrono::duration<double> delay = register_again_delay * m_hosts_read_jitter;
+  m_register_timer.start(std::chrono::duration_cast<milliseconds>(delay),
+                         [this] { register_host(); });
+}
+
 /// All hear of this process as soon as it knows where they are: after a loss of power the fetch of
 /// weights waits until the processes know each other.
 void peer_service::greet_all()
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -25,8 +25,8 @@
 
 struct peer_handlers
 {
-  std::function<std::uint64_t()> operator_offset;
-  std::function<void(std::uint64_t)> on_peer_offset;
+  std::function<state_feed::log_position()> operator_position;
+  std::function<void(const state_feed::log_position&)> on_peer_position;
   std::function<std::vector<peers::version_age>()> version_ages;
   std::function<void(const std::vector<peers::version_age>&)> on_version_ages;
   std::function<void(const peers::load_message&)> on_load;
@@ -92,6 +92,8 @@
                    std::function<void(result<state_feed::relay_page>)> done);
   /// This process holds state of all topics.
   void set_has_state();
+  /// The store has come back from an older copy, which may lack the record of this host.
+  void register_again();
 
 private:
   void gossip();
@@ -141,6 +143,8 @@
   /// Processes that started at once read the list at different times.
   double m_hosts_read_jitter = 1;
   bool m_registering = false;
+  /// When this process last wrote the record of its host.
+  std::optional<async_io::time_point> m_registered_at;
   peers::key_owner m_permit_owners;
 };
 
--- a/Source/Core/Peers/PeerMessages.h
+++ b/Source/Core/Peers/PeerMessages.h
@@ -78,7 +78,8 @@
 {
   std::vector<peer_record> peers;
   std::vector<version_age> versions;
-  /// Offset up to which the sender has applied the operator's records.
+  /// Era of the store and offset up to which the sender has applied the operator's records.
+  std::uint64_t operator_era = 0;
   std::uint64_t operator_offset = 0;
   /// The sender sends this message to all hosts, so a reply need only describe the replying
   /// process.
@@ -87,7 +88,7 @@
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(peers, versions, operator_offset, greets_all);
+    archive(peers, versions, operator_era, operator_offset, greets_all);
   }
 };
 
--- a/Source/Core/StateFeed/Records.h
+++ b/Source/Core/StateFeed/Records.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,14 +27,26 @@
   /// Of a removal: its owner may not have removed it; it may have expired while its owner could not
   /// write.
   bool may_have_expired = true;
+  /// Kept from an earlier era of the store, whose copy lacks it. `offset` has no meaning.
+  bool retained = false;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(key, value, offset, may_have_expired);
+    archive(key, value, offset, may_have_expired, retained);
   }
 };
 
+/// Where a reader of a topic continues. The era rises each time the store comes back from an older
+/// copy; offsets of different eras cannot be compared.
+struct log_position
+{
+  std::uint64_t era = 0;
+  std::uint64_t offset = 0;
+
+  auto operator<=>(const log_position&) const = default;
+};
+
 struct record_page
 {
   std::vector<record> records;
@@ -41,11 +54,13 @@
   std::uint64_t end = 0;
   /// Offset at which the next read starts.
   std::uint64_t next = 0;
+  /// Era of the store to which the offsets belong; empty if the store did not tell.
+  std::optional<std::uint64_t> era = std::nullopt;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(records, end, next);
+    archive(records, end, next, era);
   }
 };
 
--- a/Source/Core/StateFeed/RelayPage.h
+++ b/Source/Core/StateFeed/RelayPage.h
@@ -15,8 +15,8 @@
 struct changes_request
 {
   record_topic topic = record_topic::operator_records;
-  /// Changes from this offset on; empty for the newest record of every key.
-  std::optional<std::uint64_t> offset;
+  /// Changes from here on; empty for the newest record of every key.
+  std::optional<log_position> from;
   /// The asked process waits for a change instead of answering at once that there is none.
   bool may_wait = false;
 };
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -77,6 +77,14 @@
   std::function<void(const std::string& ip, const changes_request&,
                      std::function<void(result<relay_page>)>)>
       ask;
+  /// The store has come back from an older copy; what this process wrote there may be gone.
+  std::function<void()> on_store_restored = [] {
+  };
+  /// See restore_rules.
+  std::function<bool(const record& known, const record& next)> is_older_operator_record =
+      restore_rules{}.is_older;
+  std::function<bool(const record& known, const record& next)> is_older_backend_record =
+      restore_rules{}.is_older;
 };
 
 /// Follows the operator records and, for entries, the backend server records. Reads them from the
@@ -94,7 +102,8 @@
         m_operator(
             loop, record_topic::operator_records,
             [this](const record& change) { m_handlers.on_operator_record(change); },
-            [this] { return last_confirmed(); }, default_heartbeat, timing.max_relay_age),
+            [this] { return last_confirmed(); }, default_heartbeat, timing.max_relay_age,
+            {.is_older = m_handlers.is_older_operator_record, .retains_missing = true}),
         m_backends(
             loop, record_topic::backend_servers,
             [this](const record& change) {
@@ -102,7 +111,7 @@
                                            m_backends.state.may_return_until(change, now()));
             },
             [this] { return m_backends.state.confirmed_at(); }, backend_heartbeat,
-            timing.max_relay_age),
+            timing.max_relay_age, {.is_older = m_handlers.is_older_backend_record}),
         m_catch_up_timer(loop), m_peer_timer(loop), m_backend_age_timer(loop)
   {
   }
@@ -118,12 +127,12 @@
     }
   }
 
-  /// Called when a peer has applied the operator records up to this offset.
-  void note_peer_offset(std::uint64_t offset)
+  /// Called when a peer has applied the operator records up to this position.
+  void note_peer_position(const log_position& position)
   {
-    m_peer_offset = std::max(m_peer_offset, offset);
+    m_peer_position = std::max(m_peer_position, position);
     // A process without state is not late: its first read is on its way.
-    if (!m_operator.state.is_initialized() || m_peer_offset <= m_operator.state.next_offset() ||
+    if (!m_operator.state.is_initialized() || m_peer_position <= m_operator.state.position() ||
         m_catch_up_pending)
     {
       return;
@@ -140,9 +149,9 @@
   {
     return m_backends.state.is_initialized();
   }
-  std::uint64_t operator_offset() const
+  log_position operator_position() const
   {
-    return m_operator.state.next_offset();
+    return m_operator.state.position();
   }
   /// Delay before the next attempt after a failed read of the operator records.
   std::chrono::milliseconds operator_retry_delay() const
@@ -163,8 +172,9 @@
     topic_feed(async_io::event_loop& loop, record_topic followed,
                topic_state::change_handler on_change,
                std::function<async_io::time_point()> confirmed_at,
-               std::chrono::milliseconds heartbeat, std::chrono::milliseconds max_age)
-        : topic(followed), state(std::move(on_change), heartbeat),
+               std::chrono::milliseconds heartbeat, std::chrono::milliseconds max_age,
+               restore_rules rules)
+        : topic(followed), state(std::move(on_change), heartbeat, std::move(rules)),
           relay(loop, state, std::move(confirmed_at), max_age), timer(loop)
     {
     }
@@ -244,8 +254,7 @@
   static changes_request make_request(const topic_feed& feed, bool may_wait)
   {
     const bool needs_all = !feed.state.is_initialized() || feed.resync;
-    return {feed.topic, needs_all ? std::nullopt : std::optional(feed.state.next_offset()),
-            may_wait};
+    return {feed.topic, needs_all ? std::nullopt : std::optional(feed.state.position()), may_wait};
   }
 
   void read_from_reader(topic_feed& feed, std::uint64_t read_number, const std::string& ip)
@@ -260,7 +269,7 @@
                      const result<relay_page>& page)
   {
     apply_relay_page(feed, page);
-    const bool usable = is_current(page);
+    const bool usable = is_current(page) && page->page.era.value_or(0) >= feed.state.era();
     const bool awaits_first_state = page && !page->has_state && !feed.state.is_initialized() &&
                                     now() - m_started < first_state_patience;
     if (!usable && !awaits_first_state)
@@ -276,10 +285,11 @@
 
   void apply_relay_page(topic_feed& feed, const result<relay_page>& page)
   {
-    if (!page || !page->has_state)
+    if (!page || !page->has_state || is_former(feed, page->page))
     {
       return;
     }
+    note_era(feed, page->page);
     const auto confirmed_at = now() - std::chrono::milliseconds(page->age_ms);
     if (page->is_snapshot)
     {
@@ -355,10 +365,21 @@
       log_info(log_category::log, "store reachable again");
       replace_reads_of_outage(feed);
     }
+    if (is_former(feed, *page))
+    {
+      // An answer from before the restore that arrives late.
+      return false;
+    }
+    if (note_era(feed, *page) && !is_snapshot)
+    {
+      // Offsets start anew, and the topic may have grown past the one of this read already.
+      feed.resync = true;
+      return true;
+    }
     if (!is_snapshot && page->end < feed.state.next_offset())
     {
-      // The store ends before the offset already read: its log was rolled back. Neither the newest
-      // records nor changes help until it has grown again.
+      // The store ends before the offset already read, and names no other era: its log was rolled
+      // back. Neither the newest records nor changes help until it has grown again.
       feed.resync = true;
       return false;
     }
@@ -390,17 +411,43 @@
     }
   }
 
+  static bool is_former(const topic_feed& feed, const record_page& page)
+  {
+    return feed.state.is_initialized() && page.era && *page.era < feed.state.era();
+  }
+
+  /// Returns true if the page is of a later era than the state of the topic. The other topic is
+  /// read anew as well: its read may wait at the store for an offset of the former era.
+  bool note_era(const topic_feed& feed, const record_page& page)
+  {
+    const bool is_later = feed.state.is_initialized() && page.era && *page.era > feed.state.era();
+    if (is_later && *page.era > m_newest_era)
+    {
+      m_newest_era = *page.era;
+      log_warning(log_category::log, "store came back from an older copy",
+                  {{"era", *page.era},
+                   {"operator_offset", m_operator.state.next_offset()},
+                   {"server_offset", m_backends.state.next_offset()}});
+      m_handlers.on_store_restored();
+      replace_reads_of_outage(feed);
+    }
+    return is_later;
+  }
+
   /// Runs when peers have newer records that the current read has not delivered: its connection may
   /// be stalled, or the reader of the failure domain may be cut off from the store.
   void catch_up()
   {
     m_catch_up_pending = false;
-    if (m_peer_offset <= m_operator.state.next_offset())
+    if (m_peer_position <= m_operator.state.position())
     {
       return;
     }
     log_warning(log_category::log, "behind the operator's records of peers",
-                {{"offset", m_operator.state.next_offset()}, {"peer_offset", m_peer_offset}});
+                {{"offset", m_operator.state.next_offset()},
+                 {"peer_offset", m_peer_position.offset},
+                 {"era", m_operator.state.era()},
+                 {"peer_era", m_peer_position.era}});
     if (!m_peer_request_pending)
     {
       request_from_peer();
@@ -458,7 +505,8 @@
 
   void on_extra_page(const result<record_page>& page)
   {
-    if (!page || page->end < m_backends.state.next_offset())
+    if (!page || log_position{page->era.value_or(m_backends.state.era()), page->end} <
+                     m_backends.state.position())
     {
       m_extra_read_interval = std::min(m_extra_read_interval * 2, max_extra_read_interval);
       return;
@@ -470,6 +518,13 @@
       on_store_page(m_backends, ++m_backends.read_number, page, false);
       return;
     }
+    if (note_era(m_backends, *page))
+    {
+      m_backends.resync = true;
+      m_backends.current_reader.clear();
+      read_from_store(m_backends, ++m_backends.read_number);
+      return;
+    }
     m_backends.state.apply_changes(*page, now());
     m_backends.relay.notify();
   }
@@ -488,7 +543,7 @@
                          }
                        });
     // Another peer may have the records of the operator that the current one lacks.
-    const bool is_behind = m_peer_offset > m_operator.state.next_offset();
+    const bool is_behind = m_peer_position > m_operator.state.position();
     const auto peer = m_current_peer && !is_behind ? m_current_peer : m_handlers.next_peer();
     m_current_peer.reset();
     if (!peer)
@@ -540,7 +595,8 @@
   std::chrono::milliseconds m_extra_read_interval = m_timing.max_backend_age;
   /// Peer that had current state when it was asked last; it is asked again before the next one.
   std::optional<std::string> m_current_peer;
-  std::uint64_t m_peer_offset = 0;
+  log_position m_peer_position;
+  std::uint64_t m_newest_era = 0;
   bool m_initialized = false;
   bool m_store_unreachable = false;
   bool m_catch_up_pending = false;
--- a/Source/Core/StateFeed/TopicRelay.cpp
+++ b/Source/Core/StateFeed/TopicRelay.cpp
@@ -34,7 +34,7 @@
 
 bool topic_relay::has_news(const changes_request& request) const
 {
-  return m_topic.is_initialized() && (!request.offset || m_topic.next_offset() > *request.offset);
+  return m_topic.is_initialized() && (!request.from || m_topic.position() > *request.from);
 }
 
 std::string topic_relay::make_response(const changes_request& request,
@@ -45,9 +45,9 @@
     m_encoded.clear();
     m_encoded_revision = m_topic.revision();
   }
-  auto changes = request.offset ? m_topic.changes_since(*request.offset) : std::nullopt;
+  auto changes = request.from ? m_topic.changes_since(*request.from) : std::nullopt;
   const bool is_snapshot = !changes.has_value();
-  auto& encoded = m_encoded[{is_snapshot ? std::nullopt : request.offset, excluded_key}];
+  auto& encoded = m_encoded[{is_snapshot ? std::nullopt : request.from, excluded_key}];
   if (encoded.empty())
   {
     record_page page = changes ? std::move(*changes) : m_topic.newest();
--- a/Source/Core/StateFeed/TopicRelay.h
+++ b/Source/Core/StateFeed/TopicRelay.h
@@ -51,7 +51,7 @@
     async_io::time_point expires_at;
     bool awaits_confirmation = false;
   };
-  using cache_key = std::pair<std::optional<std::uint64_t>, std::string>;
+  using cache_key = std::pair<std::optional<log_position>, std::string>;
 
   bool has_news(const changes_request& request) const;
   std::chrono::milliseconds age() const;
--- a/Source/Core/StateFeed/TopicState.cpp
+++ b/Source/Core/StateFeed/TopicState.cpp
@@ -1,6 +1,7 @@
 #include "StateFeed/TopicState.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace pollenyoke::state_feed
@@ -16,21 +17,36 @@
 constexpr int missed_heartbeats = 3;
 // Owners keep to the interval only approximately.
 constexpr int min_interval_percent = 95;
+// The store comes back from a copy that is some seconds old.
+constexpr std::chrono::seconds max_copy_age{60};
+constexpr std::size_t max_removed = 1024;
 
 } // namespace
 
-topic_state::topic_state(change_handler on_change, std::chrono::milliseconds heartbeat)
-    : m_on_change(std::move(on_change)), m_min_interval(heartbeat * min_interval_percent / 100)
+topic_state::topic_state(change_handler on_change, std::chrono::milliseconds heartbeat,
+                         restore_rules rules)
+    : m_on_change(std::move(on_change)), m_min_interval(heartbeat * min_interval_percent / 100),
+      m_rules(std::move(rules))
 {
 }
 
 void topic_state::apply(const record& change, time_point confirmed)
 {
   const auto existing = m_records.find(change.key);
+  if (existing != m_records.end() && (existing->second.era != m_era || existing->second.is_ahead ||
+                                      existing->second.newest.retained))
+  {
+    apply_restored(change, confirmed);
+    return;
+  }
   if (existing != m_records.end() && change.offset <= existing->second.newest.offset)
   {
     return;
   }
+  if (is_brought_back(change))
+  {
+    return;
+  }
   if (change.value)
   {
     put(change, confirmed);
@@ -39,6 +55,84 @@
   remove(change);
 }
 
+void topic_state::begin_era(std::uint64_t era, time_point now)
+{
+  m_era = era;
+  m_next_offset = 0;
+  // The owners of records write them again in this time, as after an outage.
+  m_outage_end = now;
+  std::erase_if(m_removed, [now](const auto& item) { return now - item.second.at > max_copy_age; });
+  for (auto& [key, removed] : m_removed)
+  {
+    removed.copied_until = std::numeric_limits<std::uint64_t>::max();
+  }
+}
+
+/// A record of a key that was known in an earlier era, from the copy or written since. What was
+/// acknowledged holds although the copy does not know it; its writer writes it again.
+void topic_state::apply_restored(const record& change, time_point confirmed)
+{
+  known_record& known = m_records.at(change.key);
+  known.era = m_era;
+  if (!change.value)
+  {
+    remove(change);
+    return;
+  }
+  if (m_rules.is_older(known.newest, change))
+  {
+    known.newest.offset = change.offset;
+    known.newest.retained = change.retained;
+    // An owner that writes its record again knows best.
+    known.is_ahead = m_rules.retains_missing;
+    return;
+  }
+  known.is_ahead = false;
+  if (known.newest.value == change.value)
+  {
+    known.newest = change;
+    return;
+  }
+  put(change, confirmed);
+}
+
+/// A record that was removed before is in the copy again. Its owner, if there still is one, writes
+/// it once more.
+bool topic_state::is_brought_back(const record& change) const
+{
+  const auto removed = m_removed.find(change.key);
+  return removed != m_removed.end() && change.value && removed->second.copied_until &&
+         change.offset < *removed->second.copied_until;
+}
+
+void topic_state::note_removal(const std::string& key, time_point now)
+{
+  if (m_removed.size() >= max_removed)
+  {
+    const auto oldest =
+        std::min_element(m_removed.begin(), m_removed.end(),
+                         [](const auto& a, const auto& b) { return a.second.at < b.second.at; });
+    m_removed.erase(oldest);
+  }
+  m_removed[key] = {now, std::nullopt};
+}
+
+void topic_state::drop_missing(const std::string& key)
+{
+  known_record& known = m_records.at(key);
+  if (m_rules.retains_missing)
+  {
+    known.newest.retained = true;
+    known.newest.offset = 0;
+    return;
+  }
+  const record removal{key, std::nullopt, m_next_offset};
+  m_records.erase(key);
+  add_recent_change(removal);
+  ++m_revision;
+  m_on_change(removal);
+}
+
 /// A page tells the order of changes, not their times. Its changes were written after the state was
 /// confirmed last, and those of one key at least an interval apart.
 void topic_state::put(const record& change, time_point confirmed)
@@ -49,6 +143,9 @@
   known.written_after =
       has_earlier ? std::min(m_confirmed_at, known.written_after + m_min_interval) : confirmed;
   known.newest = change;
+  known.era = m_era;
+  known.is_ahead = false;
+  m_removed.erase(change.key);
   add_recent_change(change);
   ++m_revision;
   m_on_change(change);
@@ -64,6 +161,7 @@
     removal.may_have_expired =
         removal.may_have_expired && silence >= missed_heartbeats * m_min_interval;
     m_records.erase(known);
+    note_removal(removal.key, m_confirmed_at);
   }
   add_recent_change(removal);
   ++m_revision;
@@ -91,6 +189,10 @@
 
 void topic_state::apply_changes(const record_page& page, time_point now)
 {
+  if (page.era.value_or(m_era) != m_era)
+  {
+    return;
+  }
   const time_point confirmed = m_confirmed_at;
   confirm(now);
   for (const record& change : page.records)
@@ -114,13 +216,20 @@
 
 void topic_state::apply_newest(const record_page& page, time_point now)
 {
-  if (m_initialized && page.end < m_next_offset)
+  const std::uint64_t era = page.era.value_or(m_era);
+  if (m_initialized && log_position{era, page.end} < position())
   {
     // The page is older than the state already applied.
     return;
   }
   const time_point confirmed = m_confirmed_at;
   confirm(now);
+  const bool restored = m_initialized && era != m_era;
+  if (restored)
+  {
+    begin_era(era, now);
+  }
+  m_era = era;
   std::set<std::string> present;
   for (const record& newest : page.records)
   {
@@ -128,9 +237,18 @@
     apply(newest, confirmed);
   }
   std::vector<std::string> removed;
+  std::vector<std::string> missing;
   for (const auto& [key, known] : m_records)
   {
-    if (!present.contains(key) && known.newest.offset < page.end)
+    if (present.contains(key))
+    {
+      continue;
+    }
+    if (known.era != m_era || known.newest.retained)
+    {
+      missing.push_back(key);
+    }
+    else if (known.newest.offset < page.end)
     {
       removed.push_back(key);
     }
@@ -140,6 +258,17 @@
     remove({key, std::nullopt, page.end});
   }
   m_next_offset = std::max(m_next_offset, page.next);
+  for (const std::string& key : missing)
+  {
+    drop_missing(key);
+  }
+  if (restored)
+  {
+    for (auto& [key, item] : m_removed)
+    {
+      item.copied_until = present.contains(key) ? std::optional(page.end) : std::nullopt;
+    }
+  }
   m_recent_changes.clear();
   m_recent_from_offset = m_next_offset;
   m_initialized = true;
@@ -156,6 +285,16 @@
   return m_next_offset;
 }
 
+std::uint64_t topic_state::era() const
+{
+  return m_era;
+}
+
+log_position topic_state::position() const
+{
+  return {m_era, m_next_offset};
+}
+
 std::uint64_t topic_state::revision() const
 {
   return m_revision;
@@ -176,23 +315,25 @@
   return *m_outage_end + reregistration_window;
 }
 
-std::optional<record_page> topic_state::changes_since(std::uint64_t offset) const
+std::optional<record_page> topic_state::changes_since(const log_position& from) const
 {
-  if (!m_initialized || offset < m_recent_from_offset)
+  if (!m_initialized || from.era != m_era || from.offset < m_recent_from_offset)
   {
     return std::nullopt;
   }
   record_page page;
+  page.era = m_era;
   page.end = m_next_offset;
   page.next = m_next_offset;
   std::copy_if(m_recent_changes.begin(), m_recent_changes.end(), std::back_inserter(page.records),
-               [offset](const record& change) { return change.offset >= offset; });
+               [&from](const record& change) { return change.offset >= from.offset; });
   return page;
 }
 
 record_page topic_state::newest() const
 {
   record_page page;
+  page.era = m_era;
   page.end = m_next_offset;
   page.next = m_next_offset;
   for (const auto& [key, known] : m_records)
--- a/Source/Core/StateFeed/TopicState.h
+++ b/Source/Core/StateFeed/TopicState.h
@@ -18,6 +18,20 @@
 constexpr std::chrono::milliseconds reregistration_window{2300};
 constexpr std::chrono::milliseconds default_heartbeat{1200};
 
+/// What holds of the records of a topic when the store comes back from an older copy.
+struct restore_rules
+{
+  /// Whether the second record, of a later era, is older than the first one by its content.
+  std::function<bool(const record& known, const record& next)> is_older =
+      [](const auto&, const auto&)
+  {
+    return false;
+  };
+  /// Records that the copy lacks stay until they are written again. Otherwise their owners have to
+  /// write them in time.
+  bool retains_missing = false;
+};
+
 /// The newest known record of each key of one topic, from the store or from a peer. A record never
 /// replaces a newer one. Not thread-safe.
 class topic_state
@@ -28,15 +42,20 @@
 
   /// `heartbeat`: interval at which the owner of a record writes it.
   explicit topic_state(change_handler on_change,
-                       std::chrono::milliseconds heartbeat = default_heartbeat);
+                       std::chrono::milliseconds heartbeat = default_heartbeat,
+                       restore_rules rules = {});
 
-  /// Applies changes, which must be in order of their offsets.
+  /// Applies changes, which must be in order of their offsets. Those of another era are ignored:
+  /// an earlier one is over, and a later one has to be read from its beginning.
   void apply_changes(const record_page& page, time_point now);
-  /// Applies the newest records of all keys and removes the keys that are absent.
+  /// Applies the newest records of all keys and removes the keys that are absent. A page of an
+  /// earlier era is ignored.
   void apply_newest(const record_page& page, time_point now);
 
   bool is_initialized() const;
   std::uint64_t next_offset() const;
+  std::uint64_t era() const;
+  log_position position() const;
   /// Increases with each change, so that what was made of an earlier state can be told from it.
   std::uint64_t revision() const;
   /// When this state was last confirmed to be current.
@@ -45,9 +64,8 @@
   /// the store; empty if the removal is final.
   std::optional<time_point> may_return_until(const record& removal, time_point now) const;
   record_page newest() const;
-  /// Changes from an offset on; empty if they are no longer kept and the reader has to
-  /// use newest().
-  std::optional<record_page> changes_since(std::uint64_t offset) const;
+  /// Changes from a position on; empty if they are not kept and the reader has to use newest().
+  std::optional<record_page> changes_since(const log_position& from) const;
 
 private:
   struct known_record
@@ -55,10 +73,26 @@
     record newest;
     /// The record was not written before.
     time_point written_after;
+    /// Era of its offset.
+    std::uint64_t era = 0;
+    /// The store has an older record of this key than the one that was acknowledged here.
+    bool is_ahead = false;
+  };
+  struct removed_record
+  {
+    time_point at;
+    /// Offset up to which records of this era may be those of the copy; empty if it has none.
+    std::optional<std::uint64_t> copied_until;
   };
 
   /// `confirmed`: when the state before the change was current.
   void apply(const record& change, time_point confirmed);
+  void begin_era(std::uint64_t era, time_point now);
+  void apply_restored(const record& change, time_point confirmed);
+  bool is_brought_back(const record& change) const;
+  /// The copy lacks the record.
+  void drop_missing(const std::string& key);
+  void note_removal(const std::string& key, time_point now);
   void put(const record& change, time_point confirmed);
   void remove(record removal);
   void add_recent_change(const record& change);
@@ -67,7 +101,11 @@
   change_handler m_on_change;
   /// Shortest interval between two writes of a record.
   std::chrono::milliseconds m_min_interval;
+  restore_rules m_rules;
   std::map<std::string, known_record> m_records;
+  /// Keys that were removed lately: an older copy may bring them back.
+  std::map<std::string, removed_record> m_removed;
+  std::uint64_t m_era = 0;
   /// The latest change of each key, oldest first, and the offset from which they are complete.
   std::deque<record> m_recent_changes;
   std::uint64_t m_recent_from_offset = 0;
--- a/Source/UnitTests/Node/StateFleetTest.cpp
+++ b/Source/UnitTests/Node/StateFleetTest.cpp
@@ -210,8 +210,9 @@
 
   node::peer_handlers make_peer_handlers()
   {
-    return {.operator_offset = [this] { return m_feed.operator_offset(); },
-            .on_peer_offset = [this](std::uint64_t offset) { m_feed.note_peer_offset(offset); },
+    return {.operator_position = [this] { return m_feed.operator_position(); },
+            .on_peer_position = [this](const state_feed::log_position& position)
+            { m_feed.note_peer_position(position); },
             .version_ages = [] { return std::vector<peers::version_age>{}; },
             .on_version_ages = [](const std::vector<peers::version_age>&) {},
             .on_load = [](const peers::load_message&) {},
@@ -241,7 +242,12 @@
             .readers = [this] { return m_peers.readers(); },
             .next_peer = [this] { return m_peers.next_peer(); },
             .ask = [this](const std::string& ip, const changes_request& request, auto done)
-            { m_peers.ask_changes(ip, request, {}, std::move(done)); }};
+            { m_peers.ask_changes(ip, request, {}, std::move(done)); },
+            .is_older_operator_record =
+                [](const record& known, const record& next)
+            {
+              return std::stoi(*next.value) < std::stoi(*known.value);
+            }};
   }
 
   protocol::node_settings m_settings;
--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -63,6 +63,11 @@
   CPPUNIT_TEST(expired_offset_triggers_resync);
   CPPUNIT_TEST(rolled_back_log_triggers_resync);
   CPPUNIT_TEST(rolled_back_log_is_not_read_without_a_pause);
+  CPPUNIT_TEST(later_era_of_the_store_is_read_from_its_beginning);
+  CPPUNIT_TEST(answer_of_a_former_era_is_not_applied);
+  CPPUNIT_TEST(later_era_of_one_topic_replaces_the_read_of_the_other);
+  CPPUNIT_TEST(process_that_hears_of_a_later_era_asks_at_once);
+  CPPUNIT_TEST(reader_of_a_former_era_is_bypassed);
   CPPUNIT_TEST(peer_is_asked_when_store_fails);
   CPPUNIT_TEST(peer_is_asked_for_changes_only);
   CPPUNIT_TEST(state_of_a_peer_keeps_its_age);
@@ -246,6 +251,99 @@
     CPPUNIT_ASSERT(follower.operator_retry_delay() > initial_retry_delay);
   }
 
+  static record_page page_of(std::uint64_t era, std::vector<record> records, std::uint64_t end)
+  {
+    record_page out = page(std::move(records), end);
+    out.era = era;
+    return out;
+  }
+
+  /// The topic has grown past its old end before anybody has read it.
+  void later_era_of_the_store_is_read_from_its_beginning()
+  {
+    auto follower = make_follower(false);
+    follower.start();
+    m_store.answer(page_of(1, {{"config", "5", 9}}, 10));
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 10"), m_store.next_call());
+    m_store.answer(page_of(2, {{"other", "1", 10}}, 11));
+    CPPUNIT_ASSERT(!m_records.contains("other"));
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("newest op"), m_store.next_call());
+    m_store.answer(page_of(2, {{"config", "7", 4}, {"other", "1", 10}}, 11));
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), m_records["config"]);
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 11"), m_store.next_call());
+  }
+
+  void answer_of_a_former_era_is_not_applied()
+  {
+    auto follower = make_follower(false);
+    follower.start();
+    m_store.answer(page_of(2, {{"config", "5", 9}}, 10));
+    run_until_call();
+    m_store.answer(page_of(1, {{"config", "4", 30}}, 31));
+    CPPUNIT_ASSERT_EQUAL(std::string("5"), m_records["config"]);
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 10"), m_store.next_call());
+  }
+
+  /// Guards against a long read that waits for an offset which the store will reach much later.
+  void later_era_of_one_topic_replaces_the_read_of_the_other()
+  {
+    auto follower = make_follower(true);
+    follower.start();
+    m_store.answer(page_of(1, {{"config", "1", 5}}, 6));
+    m_store.answer(page_of(1, {{"s1", "up", 5}}, 6));
+    const auto is_pending = [this](const std::string& operation)
+    {
+      return std::any_of(m_store.calls.begin(), m_store.calls.end(),
+                         [&operation](const scripted_store::call& call)
+                         { return call.operation == operation; });
+    };
+    run_until([&] { return is_pending("read op 6") && is_pending("read servers 6"); });
+    const auto servers =
+        std::find_if(m_store.calls.begin(), m_store.calls.end(),
+                     [](const auto& call) { return call.operation == "read servers 6"; });
+    const auto answer = servers->done;
+    m_store.calls.clear();
+    answer(page_of(2, {}, 6));
+    run_until([&] { return is_pending("read op 6") && is_pending("newest servers"); });
+    CPPUNIT_ASSERT(is_pending("read op 6") && is_pending("newest servers"));
+  }
+
+  void process_that_hears_of_a_later_era_asks_at_once()
+  {
+    auto follower = make_follower(false);
+    follower.start();
+    m_store.answer(page_of(1, {{"config", "1", 8}}, 9));
+    run_until_call();
+    m_store.calls.clear();
+    relay_page news = snapshot({{"config", "2", 3}}, 4);
+    news.page.era = 2;
+    m_responses["peer"] = {news};
+    follower.note_peer_position({2, 4});
+    run_until([this] { return m_records["config"] == "2"; });
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), m_records["config"]);
+    CPPUNIT_ASSERT(follower.operator_position() == (log_position{2, 4}));
+  }
+
+  /// It is cut off from the store, and does not know of the restore.
+  void reader_of_a_former_era_is_bypassed()
+  {
+    auto follower = make_follower(false);
+    follower.start();
+    m_store.answer(page_of(2, {{"config", "7", 3}}, 4));
+    m_readers = {"reader"};
+    relay_page former = snapshot({{"config", "5", 30}}, 31);
+    former.page.era = 1;
+    m_responses["reader"] = {former, former};
+    run_until_call();
+    CPPUNIT_ASSERT_EQUAL(std::string("read op 4"), m_store.next_call());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_to("reader"));
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), m_records["config"]);
+  }
+
   /// Guards against a process that keeps an old configuration while the store rejects its reads.
   void peer_is_asked_when_store_fails()
   {
@@ -269,7 +367,7 @@
     run_until_call();
     m_store.answer(fail(error_code::unavailable, "503"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_requests.size());
-    CPPUNIT_ASSERT(m_requests.front().request.offset == std::optional<std::uint64_t>(4));
+    CPPUNIT_ASSERT(m_requests.front().request.from == std::optional(log_position{0, 4}));
     CPPUNIT_ASSERT(!m_requests.front().request.may_wait);
   }
 
@@ -283,7 +381,7 @@
     follower.start();
     m_store.answer(fail(error_code::unavailable, "503"));
     std::uint64_t age_ms = 0;
-    follower.serve_changes({record_topic::operator_records, 0, false}, {},
+    follower.serve_changes({record_topic::operator_records, log_position{}, false}, {},
                            [&age_ms](const std::string& body)
                            { age_ms = decode_relay_page(body).value().age_ms; });
     CPPUNIT_ASSERT(age_ms >= 5000);
@@ -310,7 +408,7 @@
     m_responses["reader"] = {snapshot({{"config", "1", 0}}, 1)};
     follower.start();
     CPPUNIT_ASSERT(m_store.calls.empty());
-    CPPUNIT_ASSERT(!m_requests.front().request.offset);
+    CPPUNIT_ASSERT(!m_requests.front().request.from);
     CPPUNIT_ASSERT_EQUAL(std::string("1"), m_records["config"]);
   }
 
@@ -335,7 +433,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("newest op"), m_store.next_call());
     const auto first = std::move(m_store.calls.front());
     m_store.calls.clear();
-    follower.note_peer_offset(16);
+    follower.note_peer_position({0, 16});
     run_until_call(milliseconds(500));
     CPPUNIT_ASSERT(m_store.calls.empty());
     CPPUNIT_ASSERT_EQUAL(0, m_peer_request_count);
@@ -471,7 +569,7 @@
     run_until_call();
     m_store.answer(fail(error_code::unavailable, "503"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_to("current"));
-    follower.note_peer_offset(2);
+    follower.note_peer_position({0, 2});
     run_until([this] { return m_requests.size() >= 2; });
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, requests_to("newer"));
   }
@@ -542,7 +640,7 @@
     m_store.answer(page({}, 0));
     run_until_call();
     m_store.calls.clear();
-    follower.note_peer_offset(3);
+    follower.note_peer_position({0, 3});
     run_until([this] { return m_peer_request_count >= 3; });
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store.calls.size());
   }
@@ -555,7 +653,7 @@
     run_until_call();
     const auto stalled = std::move(m_store.calls.front());
     m_store.calls.clear();
-    follower.note_peer_offset(3);
+    follower.note_peer_position({0, 3});
     run_until_call();
     CPPUNIT_ASSERT_EQUAL(1, m_peer_request_count);
     CPPUNIT_ASSERT_EQUAL(std::string("read op 0"), m_store.next_call());
--- a/Source/UnitTests/StateFeed/TopicStateTest.cpp
+++ b/Source/UnitTests/StateFeed/TopicStateTest.cpp
@@ -16,6 +16,7 @@
 
 const topic_state::time_point start_time{};
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 record_page page(std::vector<record> records, std::uint64_t end)
 {
@@ -37,6 +38,13 @@
   CPPUNIT_TEST(removal_that_a_reader_knows_to_be_final_is_final);
   CPPUNIT_TEST(server_that_stopped_writing_in_an_outage_may_return);
   CPPUNIT_TEST(truncated_relay_page_is_an_error);
+  CPPUNIT_TEST(offset_of_a_later_era_is_not_old);
+  CPPUNIT_TEST(late_page_of_a_former_era_is_ignored);
+  CPPUNIT_TEST(acknowledged_record_stays_until_the_store_has_one_that_is_not_older);
+  CPPUNIT_TEST(record_that_the_copy_lacks_is_retained);
+  CPPUNIT_TEST(server_that_the_copy_lacks_may_return);
+  CPPUNIT_TEST(server_that_left_is_not_brought_back_by_the_copy);
+  CPPUNIT_TEST(changes_of_another_era_are_not_sent);
   CPPUNIT_TEST(longer_limit_needs_fewer_reads);
   CPPUNIT_TEST_SUITE_END();
 
@@ -85,8 +93,8 @@
   {
     m_state.apply_newest(page({{"a", "1", 4}}, 5), start_time);
     m_state.apply_changes(page({{"a", "2", 5}, {"a", std::nullopt, 6}}, 7), start_time);
-    CPPUNIT_ASSERT(!m_state.changes_since(4));
-    const auto changes = m_state.changes_since(6);
+    CPPUNIT_ASSERT(!m_state.changes_since({0, 4}));
+    const auto changes = m_state.changes_since({0, 6});
     CPPUNIT_ASSERT(changes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes->records.size());
     CPPUNIT_ASSERT(!changes->records.front().value);
@@ -102,7 +110,7 @@
       m_state.apply_changes(page({{"config", std::to_string(offset), offset}}, offset + 1),
                             start_time);
     }
-    const auto changes = m_state.changes_since(1);
+    const auto changes = m_state.changes_since({0, 1});
     CPPUNIT_ASSERT(changes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes->records.size());
     CPPUNIT_ASSERT_EQUAL(std::string("25"), changes->records.front().value.value());
@@ -175,7 +183,7 @@
     m_state.apply_newest(page({{"a", "1", 1}}, 2), start_time);
     apply_changes({{"a", std::nullopt, 8, false}}, 9, milliseconds(6000));
     CPPUNIT_ASSERT(!m_kept_until);
-    const auto changes = m_state.changes_since(2);
+    const auto changes = m_state.changes_since({0, 2});
     CPPUNIT_ASSERT(changes);
     CPPUNIT_ASSERT(!changes->records.front().may_have_expired);
   }
@@ -190,6 +198,135 @@
     CPPUNIT_ASSERT(m_kept_until == m_now + reregistration_window);
   }
 
+  static record_page page_of(std::uint64_t era, std::vector<record> records, std::uint64_t end)
+  {
+    record_page out = page(std::move(records), end);
+    out.era = era;
+    return out;
+  }
+
+  /// A topic of the operator, whose records hold their versions.
+  topic_state make_operator_state()
+  {
+    return topic_state([this](const record& change)
+                       { m_applied.push_back(change.key + "=" + change.value.value_or("-")); },
+                       default_heartbeat,
+                       {.is_older = [](const record& known, const record& next)
+                        { return std::stoi(*next.value) < std::stoi(*known.value); },
+                        .retains_missing = true});
+  }
+
+  static std::string value_of(const topic_state& state, const std::string& key)
+  {
+    const record_page newest = state.newest();
+    for (const record& item : newest.records)
+    {
+      if (item.key == key)
+      {
+        return *item.value;
+      }
+    }
+    return {};
+  }
+
+  /// Guards against CONFIG: what is written after a restore is dropped for its offset.
+  void offset_of_a_later_era_is_not_old()
+  {
+    m_state.apply_newest(page_of(1, {{"a", "1", 50}}, 51), start_time);
+    m_state.apply_changes(page_of(2, {{"a", "2", 60}}, 61), start_time);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), value_of(m_state, "a"));
+    m_state.apply_newest(page_of(2, {{"a", "2", 20}}, 21), start_time);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), value_of(m_state, "a"));
+    m_state.apply_changes(page_of(2, {{"a", "3", 21}}, 22), start_time);
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), value_of(m_state, "a"));
+    CPPUNIT_ASSERT(m_state.position() == (log_position{2, 22}));
+  }
+
+  void late_page_of_a_former_era_is_ignored()
+  {
+    m_state.apply_newest(page_of(2, {{"a", "2", 20}}, 21), start_time);
+    m_state.apply_newest(page_of(1, {{"a", "1", 50}, {"b", "1", 51}}, 52), start_time);
+    m_state.apply_changes(page_of(1, {{"a", "1", 52}}, 53), start_time);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), value_of(m_state, "a"));
+    CPPUNIT_ASSERT(value_of(m_state, "b").empty());
+    CPPUNIT_ASSERT(m_state.position() == (log_position{2, 21}));
+  }
+
+  /// The operator writes its records again, those of before the copy's end perhaps first.
+  void acknowledged_record_stays_until_the_store_has_one_that_is_not_older()
+  {
+    auto state = make_operator_state();
+    state.apply_newest(page_of(1, {{"config", "13", 30}}, 31), start_time);
+    m_applied.clear();
+    state.apply_newest(page_of(2, {{"config", "6", 10}}, 11), start_time);
+    state.apply_changes(page_of(2, {{"config", "10", 11}}, 12), start_time);
+    CPPUNIT_ASSERT_EQUAL(std::string("13"), value_of(state, "config"));
+    state.apply_changes(page_of(2, {{"config", "13", 12}}, 13), start_time);
+    CPPUNIT_ASSERT(m_applied.empty());
+    state.apply_changes(page_of(2, {{"config", "16", 13}}, 14), start_time);
+    CPPUNIT_ASSERT_EQUAL(std::string("16"), value_of(state, "config"));
+    // Within an era the store's order decides.
+    state.apply_changes(page_of(2, {{"config", "15", 14}}, 15), start_time);
+    CPPUNIT_ASSERT_EQUAL(std::string("15"), value_of(state, "config"));
+  }
+
+  void record_that_the_copy_lacks_is_retained()
+  {
+    auto state = make_operator_state();
+    state.apply_newest(page_of(1, {{"config", "6", 3}, {"version/m", "2", 30}}, 31), start_time);
+    state.apply_newest(page_of(2, {{"config", "6", 3}}, 4), start_time);
+    // Followers get it with the state of this process, also when they read the store later.
+    auto follower = make_operator_state();
+    follower.apply_newest(state.newest(), start_time);
+    for (topic_state* each : {&state, &follower})
+    {
+      each->apply_newest(page_of(2, {{"config", "6", 3}}, 6), start_time);
+      CPPUNIT_ASSERT_EQUAL(std::string("2"), value_of(*each, "version/m"));
+      each->apply_changes(page_of(2, {{"version/m", "1", 6}}, 7), start_time);
+      CPPUNIT_ASSERT_EQUAL(std::string("2"), value_of(*each, "version/m"));
+      each->apply_changes(page_of(2, {{"version/m", "2", 7}, {"version/m", "3", 8}}, 9),
+                          start_time);
+      CPPUNIT_ASSERT_EQUAL(std::string("3"), value_of(*each, "version/m"));
+    }
+  }
+
+  /// Its record was written after the copy was made; it writes it again with its next heartbeat.
+  void server_that_the_copy_lacks_may_return()
+  {
+    m_now = start_time + seconds(100);
+    m_state.apply_newest(page_of(1, {{"a", "1", 1}, {"b", "1", 2}}, 3), m_now);
+    m_now += milliseconds(500);
+    m_state.apply_newest(page_of(2, {{"a", "1", 1}}, 2), m_now);
+    CPPUNIT_ASSERT_EQUAL(std::string("b=-"), m_applied.back());
+    CPPUNIT_ASSERT(m_kept_until == m_now + reregistration_window);
+    m_state.apply_changes(page_of(2, {{"b", "2", 2}}, 3), m_now + milliseconds(900));
+    CPPUNIT_ASSERT_EQUAL(std::string("b=2"), m_applied.back());
+  }
+
+  /// Guards against DRAIN: the record of a server that has left is in the copy again.
+  void server_that_left_is_not_brought_back_by_the_copy()
+  {
+    m_now = start_time + seconds(100);
+    m_state.apply_newest(page_of(1, {{"a", "1", 1}, {"b", "1", 2}}, 3), m_now);
+    m_state.apply_changes(page_of(1, {{"b", std::nullopt, 3}}, 4), m_now);
+    m_applied.clear();
+    m_state.apply_newest(page_of(2, {{"a", "1", 1}, {"b", "1", 2}}, 3), m_now);
+    m_state.apply_newest(page_of(2, {{"a", "1", 1}, {"b", "1", 2}}, 3), m_now);
+    CPPUNIT_ASSERT(m_applied.empty());
+    // One that has only been away writes its record again.
+    m_state.apply_changes(page_of(2, {{"b", "1", 3}}, 4), m_now);
+    CPPUNIT_ASSERT_EQUAL(std::string("b=1"), m_applied.back());
+  }
+
+  void changes_of_another_era_are_not_sent()
+  {
+    m_state.apply_newest(page_of(2, {{"a", "1", 4}}, 5), start_time);
+    CPPUNIT_ASSERT(m_state.changes_since({2, 5}));
+    CPPUNIT_ASSERT(!m_state.changes_since({1, 5}));
+    CPPUNIT_ASSERT(!m_state.changes_since({3, 5}));
+    CPPUNIT_ASSERT(*m_state.newest().era == 2);
+  }
+
   void truncated_relay_page_is_an_error()
   {
     const std::string good = encode_relay_page({true, true, page({{"a", "1", 1}}, 2), 5});
