Emulator: servers that name a limit throughout a run, and how much of it is used

server_limit_per_s in a deployment file makes the first engine and the first desk name this limit; the report's `limits` counts while there are callers. An experiment for the used share with real processes, which virtual time cannot give.

--- a/Source/Emulator/Checks.cpp
+++ b/Source/Emulator/Checks.cpp
@@ -808,13 +808,19 @@
 {
   constexpr double hearing_time = 1;
   limit_use out;
+  if (seen.attempts.empty())
+  {
+    return out;
+  }
+  const moment first_sent = seen.attempts.front().sent;
+  const moment last_sent = seen.attempts.back().sent;
   for (auto word = seen.limit_words.begin(); word != seen.limit_words.end(); ++word)
   {
     const auto next =
         std::find_if(word + 1, seen.limit_words.end(),
                      [word](const limit_word& later) { return later.server == word->server; });
-    const moment from = word->at + hearing_time;
-    const moment to = next == seen.limit_words.end() ? seen.end : next->at;
+    const moment from = std::max(word->at, first_sent) + hearing_time;
+    const moment to = next == seen.limit_words.end() ? last_sent : std::min(next->at, last_sent);
     if (word->per_second.value_or(0) <= 0 || to <= from)
     {
       continue;
--- a/Source/Emulator/Checks.h
+++ b/Source/Emulator/Checks.h
@@ -66,7 +66,8 @@
 leaving_times measure_leaving_times(const history& seen, const rule_bounds& bounds);
 
 /// Requests that servers got while they named a limit above 0, and those that the limits allowed.
-/// The first second of each limit, in which hosts hear of it, does not count.
+/// The first second of each limit, in which hosts hear of it, does not count, nor the time without
+/// callers.
 struct limit_use
 {
   double arrived = 0;
--- a/Source/Emulator/Deployment.cpp
+++ b/Source/Emulator/Deployment.cpp
@@ -95,6 +95,7 @@
   root.optional("requests_per_s", out.requests_per_s, number(0, 10000));
   root.optional("model_share", out.model_share, number(0, 1));
   root.optional("impatient_share", out.impatient_share, number(0, 1));
+  root.optional("server_limit_per_s", out.server_limit_per_s, number(0, 10000));
   root.optional("memory_mb", out.memory_mb, integer<std::uint64_t>(16, 100000));
   root.optional("origin_bytes_per_s", out.origin_bytes_per_s, number(1000, 1e12));
   root.optional("lookup_lifetime_limit_s", out.lookup_lifetime_limit,
--- a/Source/Emulator/Deployment.h
+++ b/Source/Emulator/Deployment.h
@@ -34,6 +34,9 @@
   double model_share = 0.6;
   /// Share of the callers who leave before they have an answer.
   double impatient_share = 0.05;
+  /// Requests a second that the first engine and the first desk take, by their own word; 0: no
+  /// limit.
+  double server_limit_per_s = 0;
   std::uint64_t memory_mb = 182;
   double origin_bytes_per_s = 1.9e6;
   std::chrono::seconds lookup_lifetime_limit{5};
--- a/Source/Emulator/PlatformRun.cpp
+++ b/Source/Emulator/PlatformRun.cpp
@@ -116,6 +116,11 @@
   {
     outcome = outcome.and_then([&desk = *desk] { return desk.start(); });
   }
+  if (m_deployment.server_limit_per_s > 0)
+  {
+    m_engines.front()->set_limit(m_deployment.server_limit_per_s);
+    m_desks.front()->set_limit(m_deployment.server_limit_per_s);
+  }
   m_operator = std::make_unique<fleet_operator>(m_loop, m_record, *m_store, *m_origin, m_layout,
                                                 m_deployment.engine);
   m_operator->publish();
--- a/Source/UnitTests/Emulator/ChecksTest.cpp
+++ b/Source/UnitTests/Emulator/ChecksTest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(time_from_the_word_of_a_server_to_its_last_request);
   CPPUNIT_TEST(few_requests_may_cross_the_answer_that_asks_for_a_pause);
   CPPUNIT_TEST(requests_beyond_a_limit_are_those_of_machines_that_were_told);
+  CPPUNIT_TEST(used_part_of_a_limit_counts_while_there_are_callers);
   CPPUNIT_TEST(same_seed_draws_the_same_plan);
   CPPUNIT_TEST(plan_ends_before_the_run);
   CPPUNIT_TEST(each_fault_has_a_name);
@@ -177,6 +178,20 @@
     CPPUNIT_ASSERT(find_violations(restarted, m_bounds).empty());
   }
 
+  /// The sound history has a request every 0.05 s from 19 s on, and the last one at 20 s.
+  void used_part_of_a_limit_counts_while_there_are_callers()
+  {
+    history seen = make_sound_history();
+    seen.limit_words = {{"i-1", 18.45, 10.0}, {"i-1", 50, std::nullopt}, {"i-2", 10, 0.0}};
+    const limit_use before_half = measure_limit_use(seen);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0, before_half.allowed, 1e-9);
+    seen.attempts.push_back(seen.attempts.back());
+    seen.attempts.back().sent = 21;
+    const limit_use use = measure_limit_use(seen);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(10, use.allowed, 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1, use.arrived, 1e-9);
+  }
+
   void same_seed_draws_the_same_plan()
   {
     const auto first = draw_plan(7, 60);
