Emulator: a server that is down names no limit

The trace: it had crashed at 18.8 s; the limit of 0.3 was set at 20.3 s, while it was down, and noted in the history; it came back under its id at 21.4 s without it, and no entry logged a limit of 0.3. A server that is down is now left as it is.

--- a/Source/Emulator/BackendServer.cpp
+++ b/Source/Emulator/BackendServer.cpp
@@ -187,12 +187,12 @@
            {{"id", m_id}, {"downtime_ms", downtime.count()}});
   // A server that has said that it leaves does not come back under its id.
   const bool returns_as_itself = keeps_id && !m_words->leaving;
-  m_up = false;
   if (!m_words->limit.empty())
   {
     // The next instance names none, also under the same id.
     set_limit({});
   }
+  m_up = false;
   lose_power();
   m_server.set_fault(meanwhile);
   m_later.clear();
@@ -236,6 +236,10 @@
 
 void backend_server::set_limit(std::optional<double> per_second)
 {
+  if (!m_up)
+  {
+    return;
+  }
   m_environment.record.seen().limit_words.push_back({m_id, m_environment.record.now(), per_second});
   m_words->limit = per_second ? std::to_string(*per_second) : std::string{};
 }
