--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -22,8 +22,6 @@
 
 constexpr milliseconds registration_retry{1000};
 constexpr milliseconds register_again_delay{1000};
-// The store comes back from a copy that is some seconds old.
-constexpr std::chrono::seconds max_copy_age{60};
 constexpr milliseconds peer_answer_timeout{1000};
 // Time beyond its wait in which a reader in the same failure domain answers.
 constexpr milliseconds relay_margin{400};
@@ -528,7 +526,8 @@
 /// spread over a moment.
 void peer_service::register_again()
 {
-  if (m_registering || !m_registered_at || current_time() - *m_registered_at > max_copy_age)
+  if (m_registering || !m_registered_at ||
+      current_time() - *m_registered_at > state_feed::max_copy_age)
   {
     return;
   }
--- a/Source/Core/StateFeed/Records.h
+++ b/Source/Core/StateFeed/Records.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -37,6 +38,9 @@
   }
 };
 
+// The store comes back from a copy that is some seconds old; older changes are in it.
+constexpr std::chrono::seconds max_copy_age{60};
+
 /// Where a reader of a topic continues. The era rises each time the store comes back from an older
 /// copy; offsets of different eras cannot be compared.
 struct log_position
--- a/Source/Core/StateFeed/TopicState.cpp
+++ b/Source/Core/StateFeed/TopicState.cpp
@@ -17,8 +17,6 @@
 constexpr int missed_heartbeats = 3;
 // Owners keep to the interval only approximately.
 constexpr int min_interval_percent = 95;
-// The store comes back from a copy that is some seconds old.
-constexpr std::chrono::seconds max_copy_age{60};
 constexpr std::size_t max_removed = 1024;
 
 } // namespace
