UnitTests: oneTBB's allocator is replaced in test programs with ThreadSanitizer

Cause: tsan.supp ignores calls from libtbbmalloc. Its handler at exit acquires a mutex by a call, which is ignored, and releases it by a tail call on x86-64; the return address is then in the C library, and ThreadSanitizer sees only the release.

Change: a library of that name, which forwards to the C library, is linked to these programs; oneTBB uses it, and the real one is no longer loaded.

--- a/CMake/PollenyokeLibrary.cmake
+++ b/CMake/PollenyokeLibrary.cmake
@@ -44,6 +44,11 @@
   target_link_libraries(${name}Tests PRIVATE pollenyoke_options ${ARG_DEPENDS}
     ${CPPUNIT_LIBRARY} ${RAPIDCHECK_LIBRARY})
   target_include_directories(${name}Tests PRIVATE ${CMAKE_SOURCE_DIR}/Source)
+  if(POLLENYOKE_SANITIZE MATCHES "thread")
+    # No object refers to the library; oneTBB looks for it by name when it first allocates.
+    target_link_options(${name}Tests PRIVATE "LINKER:--no-as-needed")
+    target_link_libraries(${name}Tests PRIVATE pollenyoke_traced_allocator)
+  endif()
   foreach(source IN LISTS ARG_SOURCES)
     file(STRINGS ${source} suites REGEX "CPPUNIT_TEST_SUITE_NAMED_REGISTRATION\\(")
     foreach(line IN LISTS suites)
