Emulator: a process counts as started when its program runs

Cause: memory was read between fork and exec, when the child still has the memory of the emulator, which exceeds 182 MB late in a long run.

Change: start() returns once the program runs; a pipe that is closed by exec tells so.

--- a/Source/Emulator/NodeProcess.cpp
+++ b/Source/Emulator/NodeProcess.cpp
@@ -1,11 +1,13 @@
 #include "Emulator/NodeProcess.h"
 
+#include <array>
 #include <cerrno>
 #include <csignal>
 #include <cstring>
 #include <fstream>
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -27,6 +29,14 @@
   return "status " + std::to_string(WEXITSTATUS(status));
 }
 
+void wait_for_end_of_file(int descriptor)
+{
+  char byte = 0;
+  while (::read(descriptor, &byte, 1) < 0 && errno == EINTR)
+  {
+  }
+}
+
 } // namespace
 
 node_process::node_process(std::vector<std::string> command, std::string log)
@@ -43,6 +53,8 @@
   }
 }
 
+/// Returns when the program runs or could not be started: until then the child has the memory and
+/// the signal handlers of this process.
 result<void> node_process::start()
 {
   std::vector<char*> arguments;
@@ -56,6 +68,12 @@
   {
     return fail(error_code::unavailable, m_log + ": " + std::strerror(errno));
   }
+  std::array<int, 2> until_exec{};
+  if (::pipe2(until_exec.data(), O_CLOEXEC) != 0)
+  {
+    ::close(log);
+    return fail(error_code::unavailable, std::string("pipe: ") + std::strerror(errno));
+  }
   const pid_t parent = ::getpid();
   const pid_t pid = ::fork();
   if (pid == 0)
@@ -67,14 +85,21 @@
       ::_exit(exit_no_program);
     }
     // Sockets of this process would stay open in the child.
-    (void)::close_range(STDERR_FILENO + 1, ~0U, 0);
+    (void)::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     ::execv(arguments.front(), arguments.data());
     ::_exit(exit_no_program);
   }
+  const int fork_error = errno;
   ::close(log);
+  ::close(until_exec[1]);
+  if (pid > 0)
+  {
+    wait_for_end_of_file(until_exec[0]);
+  }
+  ::close(until_exec[0]);
   if (pid < 0)
   {
-    return fail(error_code::unavailable, std::string("fork: ") + std::strerror(errno));
+    return fail(error_code::unavailable, std::string("fork: ") + std::strerror(fork_error));
   }
   m_pid = pid;
   return {};
--- a/Source/Emulator/NodeProcess.h
+++ b/Source/Emulator/NodeProcess.h
@@ -24,6 +24,7 @@
   node_process(node_process&&) = delete;
   node_process& operator=(node_process&&) = delete;
 
+  /// Returns once the program runs. One that cannot be run ends with status 127.
   result<void> start();
   void signal(int number);
   /// True while the process has not been found to have ended.
