Rollout: layers of an engine are proven or not, by start and number of orders

It did not outlive the process, a report that showed an accepted order before its answer was read did not raise it, and status 200 ("already in effect", so loaded by an earlier order) ended it.

Change: what an engine holds is identified by its start and the number of orders that it has accepted. A mark is proven when this process got 202 for an order that a fresh check covers, or has read the pieces back once more without having staged any since. All other marks are unproven, among them those that an agent finds at its start: a proof is awaited for a second, then the layers are loaded again. The only layer of a model is dropped by an order for another version. An order follows only while the mark is still the one at which its load began. A piece whose staging was not answered may replace a later one; loads are read back after the order from then on.

--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds origin_copy_time{1400};
 // An engine that is still idle this long after it accepted an order will not execute it.
 constexpr milliseconds order_start_timeout{2000};
+// An entry answers the first report that reaches it. Reports follow each other every 100 ms and may
+// get lost.
+constexpr milliseconds proof_wait{1000};
 // Passes over the staged pieces per load. One that takes too long is repeated: the host may have
 // stood still.
 constexpr unsigned max_checks = 3;
@@ -47,6 +50,11 @@
   return std::chrono::duration_cast<milliseconds>(current_time() - time);
 }
 
+peers::engine_mark mark_of(const protocol::engine_report& report)
+{
+  return {report.started_ms, report.orders};
+}
+
 } // namespace
 
 rollout_agent::rollout_agent(fetch_environment environment, transport::endpoint engine,
@@ -150,17 +158,17 @@
   m_engine_started_ms = report->started_ms;
   m_report = std::move(*report);
   m_report_asked = m_poll_begun;
+  watch_proof();
   resolve_unanswered_order();
   update_load();
   const piece_set* ready = ready_pieces();
-  if (m_draining_since && m_loading_version == 0 && !m_report->busy && engine_holds_all_layers() &&
+  if (m_draining_since && m_load.version == 0 && !m_report->busy && engine_holds_all_layers() &&
       ready != nullptr && m_report->weight_version >= ready->version())
   {
     // The engine executed the order although its answer was lost.
     m_draining_since.reset();
   }
-  const bool engine_loading = m_loading_version != 0 || m_draining_since || m_report->busy;
-  publish_report((engine_loading && !m_loads_while_serving) || m_load_in_doubt || m_spoilt_version);
+  publish_report(is_loading());
   start_fetch_if_needed();
   start_load_if_due();
 }
@@ -172,43 +180,84 @@
   m_order_accepted_at.reset();
   m_unanswered_order.reset();
   m_draining_since.reset();
-  m_loading_version = 0;
+  m_load = {};
   m_loads_while_serving = false;
   m_load_in_doubt = false;
   m_rechecking = false;
-  m_spoilt_version.reset();
-  m_reload_steps.clear();
+  m_staging_unanswered = false;
+  m_unproven_mark.reset();
+  m_rejected = false;
+  m_reload.reset();
 }
 
-void rollout_agent::update_load()
+bool rollout_agent::is_proven() const
 {
-  if (m_spoilt_version && m_report->weight_version > *m_spoilt_version)
+  return m_report && m_proven.covers(mark_of(*m_report));
+}
+
+bool rollout_agent::is_loading() const
+{
+  const bool busy = m_load.version != 0 || m_draining_since || m_report->busy;
+  return (busy && !m_loads_while_serving) || m_load_in_doubt || m_rejected || m_reload;
+}
+
+void rollout_agent::watch_proof()
+{
+  const auto mark = mark_of(*m_report);
+  if (m_proven.covers(mark))
   {
-    m_spoilt_version.reset();
-    m_reload_steps.clear();
+    m_unproven_mark.reset();
+  }
+  else if (m_unproven_mark != mark || !has_settled())
+  {
+    // Entries that are not known yet cannot answer.
+    m_unproven_mark = mark;
+    m_unproven_since = current_time();
+  }
+}
+
+bool rollout_agent::needs_reload() const
+{
+  return m_unproven_mark && engine_has_weights() &&
+         (m_rejected || m_reload || since(m_unproven_since) >= proof_wait);
+}
+
+void rollout_agent::add_proof(const peers::engine_mark& mark)
+{
+  if (!m_report || mark != mark_of(*m_report) || is_proven() || m_rejected || m_load.version != 0)
+  {
+    return;
   }
+  log_info(log_category::weights, "entries know the layers of the engine to be whole",
+           {{"version", m_report->weight_version}, {"orders", mark.orders}});
+  m_proven.add(mark);
+  m_unproven_mark.reset();
+  m_reload.reset();
+  publish_report(is_loading());
+}
+
+void rollout_agent::update_load()
+{
   if (!m_order_accepted_at || m_report->busy)
   {
     return;
   }
-  if (m_load_in_doubt)
+  if (!has_loaded())
   {
-    if (!m_rechecking)
+    if (since(*m_order_accepted_at) > order_start_timeout)
     {
-      m_rechecking = true;
-      recheck_taken_piece(pieces_for_layers(m_loading_layers, m_shape).first);
+      m_order_accepted_at.reset();
+      m_load_in_doubt = false;
+      abort_load("engine accepted the order and does not load");
     }
     return;
   }
-  if (has_loaded())
-  {
-    finish_load();
-  }
-  else if (since(*m_order_accepted_at) > order_start_timeout)
+  if (m_load_in_doubt)
   {
-    m_order_accepted_at.reset();
-    abort_load("engine accepted the order and does not load");
+    recheck_load();
+    return;
   }
+  finish_load();
 }
 
 void rollout_agent::finish_load()
@@ -217,58 +266,66 @@
            engine_holds_all_layers() ? "engine serves the version"
                                      : "engine serves the first layers of the version",
            {{"version", m_report->weight_version},
-            {"after_ms", m_named_versions.contains(m_loading_version)
-                             ? since(m_named_versions.at(m_loading_version)).count()
+            {"after_ms", m_named_versions.contains(m_load.version)
+                             ? since(m_named_versions.at(m_load.version)).count()
                              : 0}});
+  if (m_reload && m_reload->steps.front() == m_load)
+  {
+    m_reload->steps.pop_front();
+    m_reload->mark = mark_of(*m_report);
+  }
+  if (is_proven())
+  {
+    m_reload.reset();
+    m_rejected = false;
+  }
   ++m_load_attempt;
   m_order_accepted_at.reset();
   m_draining_since.reset();
-  m_loading_version = 0;
+  m_load = {};
   m_loads_while_serving = false;
-  if (!m_reload_steps.empty())
-  {
-    m_reload_steps.pop_front();
-    if (m_reload_steps.empty())
-    {
-      m_spoilt_version.reset();
-    }
-  }
 }
 
 void rollout_agent::resolve_unanswered_order()
 {
   if (!m_unanswered_order || m_order_in_flight ||
-      m_report->orders <= m_unanswered_order->expected_orders)
+      m_report->orders <= m_unanswered_order->base.orders)
   {
     return;
   }
   const unanswered_order order = *m_unanswered_order;
   m_unanswered_order.reset();
   ++m_load_attempt;
-  m_loading_version = order.version;
-  m_loading_layers = order.layers;
+  m_load = order.step;
+  m_load_base = order.base;
+  m_keeps_unproven_layers = order.keeps_unproven_layers;
   m_loads_while_serving = false;
   m_order_accepted_at = current_time();
   m_load_in_doubt = true;
   m_rechecking = false;
   log_info(log_category::weights, "engine accepted a load order without an answer",
-           {{"version", order.version}});
-  if (order.restaged)
+           {{"version", order.step.version}});
+  if (order.restaged || m_report->orders != order.base.orders + 1)
   {
-    reload_spoilt_layers();
+    reject_load();
   }
 }
 
-bool rollout_agent::has_loaded() const
+bool rollout_agent::holds_ordered_layers() const
 {
-  if (m_spoilt_version)
+  if (m_report->weight_version != m_load.version)
   {
-    // Layers are only loaded again if the engine has dropped them before.
-    return m_report->weight_version == m_loading_version && m_report->layers == m_loading_layers;
+    return false;
   }
-  return m_report->weight_version > m_loading_version ||
-         (m_report->weight_version == m_loading_version &&
-          (!m_report->layers || m_report->layers->contains(m_loading_layers)));
+  // Layers are only loaded again if the engine has dropped them before.
+  return m_reload ? m_report->layers == m_load.layers || !m_report->layers
+                  : !m_report->layers || m_report->layers->contains(m_load.layers);
+}
+
+bool rollout_agent::has_loaded() const
+{
+  const bool may_be_newer = !m_load_in_doubt && !m_reload;
+  return holds_ordered_layers() || (may_be_newer && m_report->weight_version > m_load.version);
 }
 
 std::size_t rollout_agent::position_in_region() const
@@ -308,8 +365,9 @@
     load_in = std::max(milliseconds(1),
                        planned_load_delay(make_load_plan(named->first)) - since(named->second));
   }
-  m_handlers.on_report(*m_report,
-                       {.loading = loading, .load_in = load_in, .asked = m_report_asked});
+  m_handlers.on_report(
+      *m_report,
+      {.loading = loading, .proven = is_proven(), .load_in = load_in, .asked = m_report_asked});
 }
 
 bool rollout_agent::has_settled()
@@ -325,7 +383,7 @@
 {
   const std::uint64_t version = target_version();
   if (!m_report || m_model.empty() || m_shape.pieces == 0 || m_fetchers.contains(version) ||
-      (engine_holds_all_layers() && m_report->weight_version >= version) ||
+      (engine_holds_all_layers() && m_report->weight_version >= version && !needs_reload()) ||
       m_environment.origin().port == 0 || !has_settled())
   {
     return;
@@ -352,7 +410,7 @@
   while (m_fetchers.size() > kept_versions)
   {
     auto oldest = m_fetchers.begin();
-    if (m_unanswered_order && oldest->first == m_unanswered_order->version)
+    if (m_unanswered_order && oldest->first == m_unanswered_order->step.piece_version)
     {
       ++oldest;
     }
@@ -454,7 +512,7 @@
 bool rollout_agent::engine_can_serve_pieces(std::uint64_t version) const
 {
   return m_report && engine_holds_all_layers() && m_report->weight_version == version &&
-         m_loading_version == 0;
+         m_load.version == 0;
 }
 
 std::optional<peers::piece_announcement>
@@ -595,15 +653,13 @@
 void rollout_agent::start_load_if_due()
 {
   // Without a fetch there is nothing to load; this also avoids scanning all hosts for the inputs.
-  if (!m_report || m_loading_version != 0 || m_fetchers.empty())
+  if (!m_report || m_load.version != 0 || m_fetchers.empty())
   {
     return;
   }
-  // A newer version replaces the spoilt layers.
-  const piece_set* ready = ready_pieces();
-  if (m_spoilt_version && (ready == nullptr || ready->version() <= *m_spoilt_version))
+  if (m_unproven_mark && engine_has_weights())
   {
-    reload_if_possible();
+    replace_unproven_layers();
     return;
   }
   const load_inputs inputs = make_load_inputs();
@@ -622,46 +678,73 @@
     publish_report(true);
     return;
   case load_action::load:
-    start_load(inputs.ready_version, all);
+    start_load(make_load_step(inputs.ready_version, all));
     return;
   case load_action::load_first_part:
-    start_load(target_version(), m_first_layers);
+    start_load(make_load_step(target_version(), m_first_layers));
     return;
   case load_action::load_rest:
     m_loads_while_serving = true;
-    start_load(inputs.ready_version, all);
+    start_load(make_load_step(inputs.ready_version, all));
     return;
   }
 }
 
-void rollout_agent::reload_if_possible()
+void rollout_agent::replace_unproven_layers()
 {
-  const bool may_order =
-      !m_unanswered_order || since(m_unanswered_order->lost_at) >= order_report_delay;
-  if (!m_report->busy && may_order && !m_reload_steps.empty() &&
-      held_pieces(*m_spoilt_version, m_reload_steps.front()) != nullptr)
+  const bool order_may_show =
+      m_unanswered_order && since(m_unanswered_order->lost_at) < order_report_delay;
+  if (m_report->busy || order_may_show || !needs_reload())
+  {
+    return;
+  }
+  const piece_set* ready = ready_pieces();
+  if (ready != nullptr && ready->version() != m_report->weight_version &&
+      ready->version() >= std::min(target_version(), m_report->weight_version + 1))
+  {
+    m_reload.reset();
+    start_load(make_load_step(ready->version(), {0, m_shape.layers}));
+    return;
+  }
+  if (!m_reload || m_reload->mark != mark_of(*m_report) || m_reload->steps.empty())
+  {
+    begin_reload();
+  }
+  const load_step step = m_reload->steps.front();
+  if (held_pieces(step.piece_version, step.layers) != nullptr)
   {
-    start_load(*m_spoilt_version, m_reload_steps.front());
+    start_load(step);
   }
 }
 
-void rollout_agent::start_load(std::uint64_t version, const protocol::layer_range& layers)
+void rollout_agent::begin_reload()
+{
+  log_warning(log_category::weights, "engine may have taken bad pieces and loads them again",
+              {{"version", m_report->weight_version}, {"orders", m_report->orders}});
+  const auto layers = m_report->layers.value_or(protocol::layer_range{0, m_shape.layers});
+  const auto steps = reload_steps(m_report->weight_version, layers, m_shape.layers);
+  m_reload = reload{.steps = {steps.begin(), steps.end()}, .mark = mark_of(*m_report)};
+}
+
+void rollout_agent::start_load(const load_step& step)
 {
   ++m_load_attempt;
-  m_loading_version = version;
-  m_loading_layers = layers;
+  m_load = step;
+  m_load_base = mark_of(*m_report);
+  m_keeps_unproven_layers =
+      engine_has_weights() && m_report->weight_version == step.version && !is_proven();
   m_checks = 0;
-  if (m_unanswered_order &&
-      held_pieces(m_unanswered_order->version, m_unanswered_order->layers) != nullptr)
+  if (m_unanswered_order && held_pieces(m_unanswered_order->step.piece_version,
+                                        m_unanswered_order->step.layers) != nullptr)
   {
     // An order that is only delayed would load its version from the pieces of the other one, so the
     // engine is given the same order again. It accepts one of the two.
-    m_loading_version = m_unanswered_order->version;
-    m_loading_layers = m_unanswered_order->layers;
+    m_load = m_unanswered_order->step;
+    m_keeps_unproven_layers = m_unanswered_order->keeps_unproven_layers;
     m_unanswered_order->restaged = true;
   }
   publish_report(!m_loads_while_serving);
-  stage_piece(pieces_for_layers(m_loading_layers, m_shape).first);
+  stage_piece(pieces_for_layers(m_load.layers, m_shape).first);
 }
 
 async_io::http_caller::handler
@@ -688,7 +771,7 @@
 
 const piece_set* rollout_agent::pieces_to_stage() const
 {
-  return held_pieces(m_loading_version, m_loading_layers);
+  return held_pieces(m_load.piece_version, m_load.layers);
 }
 
 void rollout_agent::stage_piece(std::uint32_t piece)
@@ -699,7 +782,7 @@
     abort_load("pieces are no longer held");
     return;
   }
-  const piece_range range = pieces_for_layers(m_loading_layers, m_shape);
+  const piece_range range = pieces_for_layers(m_load.layers, m_shape);
   if (piece == range.end)
   {
     begin_check();
@@ -711,6 +794,7 @@
                                 {
                                   if (!answer || answer->head.status / 100 != 2)
                                   {
+                                    m_staging_unanswered = m_staging_unanswered || !answer;
                                     abort_load(answer ? "staging answered " +
                                                             std::to_string(answer->head.status)
                                                       : answer.error().message);
@@ -722,21 +806,16 @@
 
 void rollout_agent::begin_check()
 {
-  if (!m_report)
-  {
-    abort_load("engine does not report");
-    return;
-  }
   ++m_checks;
   m_confirmations = 0;
-  m_check.emplace(boot_clock::now(), m_report->started_ms);
-  verify_staged_piece(pieces_for_layers(m_loading_layers, m_shape).first);
+  m_check.emplace(boot_clock::now(), m_load_base.started_ms);
+  verify_staged_piece(pieces_for_layers(m_load.layers, m_shape).first);
 }
 
 /// Reads each staged piece back right before the order, as it may have been corrupted since.
 void rollout_agent::verify_staged_piece(std::uint32_t piece)
 {
-  if (piece == pieces_for_layers(m_loading_layers, m_shape).end)
+  if (piece == pieces_for_layers(m_load.layers, m_shape).end)
   {
     confirm_engine();
     return;
@@ -751,7 +830,7 @@
                                   {
                                     log_warning(log_category::weights,
                                                 "staged piece differs from the manifest",
-                                                {{"version", m_loading_version}, {"piece", piece}});
+                                                {{"version", m_load.version}, {"piece", piece}});
                                     abort_load("staged piece is spoilt");
                                     return;
                                   }
@@ -788,15 +867,19 @@
     abort_load(report.error().message);
     return;
   }
+  if (mark_of(*report) != m_load_base)
+  {
+    abort_load("engine restarted or accepted another order");
+    return;
+  }
   if (m_check->allows_order(report->started_ms, boot_clock::now()))
   {
-    send_load_order(report->orders,
-                    m_confirmations < max_confirmations ? std::move(session) : nullptr);
+    send_load_order(m_confirmations < max_confirmations ? std::move(session) : nullptr);
   }
-  else if (m_report && m_report->started_ms == report->started_ms && m_checks < max_checks)
+  else if (m_checks < max_checks)
   {
     log_info(log_category::weights, "staged pieces were read back too long ago",
-             {{"version", m_loading_version}, {"passes", m_checks}});
+             {{"version", m_load.version}, {"passes", m_checks}});
     begin_check();
   }
   else
@@ -805,25 +888,22 @@
   }
 }
 
-void rollout_agent::send_load_order(std::uint64_t expected_orders,
-                                    std::shared_ptr<async_io::call_session> session)
+void rollout_agent::send_load_order(std::shared_ptr<async_io::call_session> session)
 {
-  const bool is_part = m_loading_layers != protocol::layer_range{0, m_shape.layers};
-  const auto layers = is_part ? std::optional(m_loading_layers) : std::nullopt;
-  auto call = platform::start_call(m_engine, m_model, m_loading_version, layers, expected_orders,
+  const bool is_part = m_load.layers != protocol::layer_range{0, m_shape.layers};
+  const auto layers = is_part ? std::optional(m_load.layers) : std::nullopt;
+  auto call = platform::start_call(m_engine, m_model, m_load.version, layers, m_load_base.orders,
                                    m_loads_while_serving ? platform::running_work::finish
                                                          : platform::running_work::cut);
   call.timeout = std::min(call.timeout, m_check->order_time_limit(boot_clock::now()));
   call.session = std::move(session);
   m_order_in_flight = true;
-  m_environment.caller.call(
-      std::move(call),
-      for_current_load([this, expected_orders](const result<async_io::http_response>& answer)
-                       { handle_order_answer(answer, expected_orders); }));
+  m_environment.caller.call(std::move(call),
+                            for_current_load([this](const result<async_io::http_response>& answer)
+                                             { handle_order_answer(answer); }));
 }
 
-void rollout_agent::handle_order_answer(const result<async_io::http_response>& answer,
-                                        std::uint64_t expected_orders)
+void rollout_agent::handle_order_answer(const result<async_io::http_response>& answer)
 {
   m_order_in_flight = false;
   if (!answer && answer.error().code == error_code::unavailable)
@@ -839,38 +919,70 @@
   }
   if (!answer)
   {
-    m_unanswered_order = {.version = m_loading_version,
-                          .layers = m_loading_layers,
-                          .expected_orders = expected_orders,
+    m_unanswered_order = {.step = m_load,
+                          .base = m_load_base,
+                          .keeps_unproven_layers = m_keeps_unproven_layers,
                           .lost_at = current_time()};
     abort_load("answer to the order was lost: " + answer.error().message);
     return;
   }
-  if (answer->head.status / 100 != 2)
+  // 200 says that an earlier order has loaded the same, from pieces that were checked then or not.
+  if (answer->head.status != 202)
   {
     abort_load("order answered " + std::to_string(answer->head.status));
     return;
   }
   log_info(log_category::weights, "engine accepted the load order",
-           {{"version", m_loading_version},
-            {"from_layer", m_loading_layers.from},
-            {"to_layer", m_loading_layers.to},
+           {{"version", m_load.version},
+            {"from_layer", m_load.layers.from},
+            {"to_layer", m_load.layers.to},
             {"status", answer->head.status},
             {"running", m_report ? m_report->running : 0}});
   m_unanswered_order.reset();
   m_order_accepted_at = current_time();
   // The process or the engine may have stood still after the order was sent.
-  m_load_in_doubt = !m_check->covers(boot_clock::now());
+  m_load_in_doubt = !m_check->covers(boot_clock::now()) || m_staging_unanswered;
   m_rechecking = false;
+  if (!m_load_in_doubt)
+  {
+    prove_load();
+  }
+}
+
+void rollout_agent::prove_load()
+{
+  m_load_in_doubt = false;
+  const bool ends_reload =
+      m_reload && m_reload->steps.size() == 1 && m_reload->steps.front() == m_load;
+  const bool took_all = !m_keeps_unproven_layers && m_load.piece_version == m_load.version;
+  if (ends_reload || took_all)
+  {
+    m_proven.add({m_load_base.started_ms, m_load_base.orders + 1});
+    m_rejected = false;
+  }
+  if (m_report)
+  {
+    watch_proof();
+    publish_report(is_loading());
+  }
+}
+
+void rollout_agent::recheck_load()
+{
+  if (!m_rechecking)
+  {
+    m_rechecking = true;
+    recheck_taken_piece(pieces_for_layers(m_load.layers, m_shape).first);
+  }
 }
 
 void rollout_agent::recheck_taken_piece(std::uint32_t piece)
 {
-  if (piece == pieces_for_layers(m_loading_layers, m_shape).end)
+  if (piece == pieces_for_layers(m_load.layers, m_shape).end)
   {
-    log_info(log_category::weights, "engine took whole pieces", {{"version", m_loading_version}});
+    log_info(log_category::weights, "engine took whole pieces", {{"version", m_load.version}});
     m_rechecking = false;
-    m_load_in_doubt = false;
+    prove_load();
     return;
   }
   m_environment.caller.call(platform::stage_get_call(m_engine, m_model, piece),
@@ -890,30 +1002,30 @@
                                     recheck_taken_piece(piece + 1);
                                     return;
                                   }
-                                  reload_spoilt_layers();
+                                  reject_load();
                                 }));
 }
 
-void rollout_agent::reload_spoilt_layers()
+void rollout_agent::reject_load()
 {
-  log_warning(log_category::weights, "engine may have taken bad pieces and loads them again",
-              {{"version", m_loading_version}});
-  m_spoilt_version = m_loading_version;
-  const auto steps = reload_steps(m_loading_layers, m_shape.layers);
-  m_reload_steps.assign(steps.begin(), steps.end());
+  log_warning(log_category::weights, "engine may have taken bad pieces",
+              {{"version", m_load.version}});
+  m_rejected = true;
+  m_reload.reset();
   m_load_in_doubt = false;
   m_rechecking = false;
   m_order_accepted_at.reset();
   ++m_load_attempt;
-  m_loading_version = 0;
+  m_load = {};
+  m_loads_while_serving = false;
 }
 
 void rollout_agent::abort_load(const std::string& reason)
 {
   log_warning(log_category::weights, "load of a version failed",
-              {{"version", m_loading_version}, {"reason", reason}});
+              {{"version", m_load.version}, {"reason", reason}});
   ++m_load_attempt;
-  m_loading_version = 0;
+  m_load = {};
   m_loads_while_serving = false;
 }
 
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -13,9 +13,11 @@
 #include "AsyncIo/HttpListener.h"
 #include "Common/BootClock.h"
 #include "Common/TokenBucket.h"
+#include "Peers/EngineMark.h"
 #include "Protocol/ServingModel.h"
 #include "Rollout/LoadRule.h"
 #include "Rollout/PieceFetcher.h"
+#include "Rollout/ProvenLayers.h"
 #include "Rollout/SettleRule.h"
 #include "Rollout/StagedCheck.h"
 
@@ -27,6 +29,8 @@
 {
   /// Set from just before a load order until the engine serves again.
   bool loading = false;
+  /// The layers that the engine holds are known to be made of whole pieces.
+  bool proven = false;
   /// Time until the planned load, if there is one.
   std::optional<std::chrono::milliseconds> load_in;
   /// When the engine was asked for the report.
@@ -57,6 +61,8 @@
   void start();
   void set_model(const std::string& model, const weight_shape& shape);
   void add_version(const protocol::named_version& version);
+  /// An entry remembers that the layers of the engine were proven at this mark.
+  void add_proof(const peers::engine_mark& mark);
   /// Handles the announcement of another agent about the pieces it holds.
   void handle_announcement(const std::string& ip, const peers::piece_announcement& received);
   /// Answers a peer's request for the manifest of a version.
@@ -70,13 +76,21 @@
   /// A load order without an answer. The engine may accept it at any later moment of its run.
   struct unanswered_order
   {
-    std::uint64_t version = 0;
-    protocol::layer_range layers;
-    std::uint64_t expected_orders = 0;
+    load_step step;
+    /// Mark of the engine without the order.
+    peers::engine_mark base;
+    bool keeps_unproven_layers = false;
     async_io::time_point lost_at{};
     /// Pieces were staged again since, so that they do not show what such an order took.
     bool restaged = false;
   };
+  /// Orders by which the engine drops layers and loads them again.
+  struct reload
+  {
+    std::deque<load_step> steps;
+    /// Mark of the engine after the last order that is complete.
+    peers::engine_mark mark;
+  };
   struct queued_piece
   {
     std::string bytes;
@@ -94,7 +108,14 @@
   load_plan make_load_plan(std::uint64_t version) const;
   /// Whether the set of known hosts is stable, so that a fetch can be planned.
   bool has_settled();
+  bool is_proven() const;
+  /// Whether entries have to stop sending new requests to the engine.
+  bool is_loading() const;
   void publish_report(bool loading);
+  /// Notes how long the layers that the engine reports have been without a proof.
+  void watch_proof();
+  /// The engine holds layers whose proof this process neither has nor may still get.
+  bool needs_reload() const;
   void poll_engine();
   void handle_report(const result<async_io::http_response>& answer);
   void start_fetch_if_needed();
@@ -109,9 +130,13 @@
                                const async_io::http_listener::responder& respond);
   void start_load_if_due();
   load_inputs make_load_inputs() const;
-  void start_load(std::uint64_t version, const protocol::layer_range& layers);
+  void start_load(const load_step& step);
   /// Whether the engine reports the version and layers that it was ordered to load.
+  bool holds_ordered_layers() const;
+  /// Whether the engine reports those or a newer version.
   bool has_loaded() const;
+  /// The engine has taken whole pieces for the current load.
+  void prove_load();
   /// Forgets all that belongs to the start of the engine that has ended.
   void forget_engine_state();
   /// Ends the load if the engine has completed it or has not begun it in time.
@@ -135,16 +160,17 @@
   void confirm_engine();
   void handle_confirmation(const result<async_io::http_response>& answer,
                            std::shared_ptr<async_io::call_session> session);
-  void send_load_order(std::uint64_t expected_orders,
-                       std::shared_ptr<async_io::call_session> session);
-  void handle_order_answer(const result<async_io::http_response>& answer,
-                           std::uint64_t expected_orders);
+  void send_load_order(std::shared_ptr<async_io::call_session> session);
+  void handle_order_answer(const result<async_io::http_response>& answer);
   /// Reads pieces back that the engine has already taken, as they may have been spoilt then.
+  void recheck_load();
   void recheck_taken_piece(std::uint32_t piece);
-  /// Has the layers of the current load dropped and loaded again.
-  void reload_spoilt_layers();
-  /// Starts the next step of that, if the engine can be given an order.
-  void reload_if_possible();
+  /// Ends the current load, whose pieces may have been bad; the layers are loaded again.
+  void reject_load();
+  /// Has an engine whose layers are without proof load a version that replaces them, or the same
+  /// one again.
+  void replace_unproven_layers();
+  void begin_reload();
   void abort_load(const std::string& reason);
   /// A handler that does nothing once the current load has ended.
   async_io::http_caller::handler for_current_load(async_io::http_caller::handler handle);
@@ -179,9 +205,12 @@
   boot_clock::time_point m_poll_begun;
   /// When entries were told to send no new requests to the engine, before it loads.
   std::optional<async_io::time_point> m_draining_since;
-  /// Version and layers that are being staged and loaded; the version is 0 if there is no load.
-  std::uint64_t m_loading_version = 0;
-  protocol::layer_range m_loading_layers;
+  /// What is being staged and loaded; the version is 0 if there is no load.
+  load_step m_load;
+  /// Mark of the engine before its order.
+  peers::engine_mark m_load_base;
+  /// The engine holds layers of the same version without a proof, which the order does not replace.
+  bool m_keeps_unproven_layers = false;
   /// Whether the engine keeps serving during the current load.
   bool m_loads_while_serving = false;
   /// Changes with each load, so that answers to calls of an earlier one are recognized.
@@ -198,10 +227,15 @@
   bool m_load_in_doubt = false;
   bool m_rechecking = false;
   std::optional<unanswered_order> m_unanswered_order;
-  /// Version of which the engine holds layers that were made of bad pieces; no request may use it.
-  std::optional<std::uint64_t> m_spoilt_version;
-  /// Layers that it is still ordered to hold, so that it loads that version again.
-  std::deque<protocol::layer_range> m_reload_steps;
+  /// A piece whose staging was not answered may still replace one that is staged later.
+  bool m_staging_unanswered = false;
+  proven_layers m_proven;
+  /// Mark without a proof that the engine reported last, and when it did so first.
+  std::optional<peers::engine_mark> m_unproven_mark;
+  async_io::time_point m_unproven_since{};
+  /// No proof can come: the layers were not taken from pieces that this process has found whole.
+  bool m_rejected = false;
+  std::optional<reload> m_reload;
   unsigned m_failed_polls = 0;
 };
 
--- a/Source/Core/Rollout/StagedCheck.cpp
+++ b/Source/Core/Rollout/StagedCheck.cpp
@@ -34,23 +34,36 @@
   return accepted - m_begun <= spoilage_tolerance;
 }
 
-std::vector<protocol::layer_range> reload_steps(const protocol::layer_range& layers,
-                                                unsigned model_layers)
+load_step make_load_step(std::uint64_t version, const protocol::layer_range& layers)
 {
+  return {.version = version, .layers = layers, .piece_version = version};
+}
+
+std::vector<load_step> reload_steps(std::uint64_t version, const protocol::layer_range& layers,
+                                    unsigned model_layers)
+{
+  const auto step = [version](unsigned from, unsigned to)
+  {
+    return make_load_step(version, {from, to});
+  };
+  const load_step whole = make_load_step(version, layers);
   const unsigned middle = layers.from + (layers.to - layers.from) / 2;
   if (middle != layers.from)
   {
-    return {{layers.from, middle}, {middle, layers.to}, layers};
+    return {step(layers.from, middle), step(middle, layers.to), whole};
   }
   if (layers.from > 0)
   {
-    return {{layers.from - 1, layers.from}, layers};
+    return {step(layers.from - 1, layers.from), whole};
   }
   if (layers.to < model_layers)
   {
-    return {{layers.to, layers.to + 1}, layers};
+    return {step(layers.to, layers.to + 1), whole};
   }
-  return {};
+  // The only layer of a model is dropped by an order for another version. No request names that
+  // one, and no proof covers it.
+  const std::uint64_t other = version > 1 ? version - 1 : version + 1;
+  return {{.version = other, .layers = layers, .piece_version = version}, whole};
 }
 
 } // namespace pollenyoke::rollout
--- a/Source/Core/Rollout/StagedCheck.h
+++ b/Source/Core/Rollout/StagedCheck.h
@@ -34,10 +34,24 @@
   std::uint64_t m_engine_started_ms;
 };
 
-/// Layers that an engine is ordered to hold, one after the other, so that it loads each of `layers`
-/// again: a version that it holds already is not loaded by a second order. `model_layers`: layers
-/// of the whole model. Empty if the model has only one layer.
-std::vector<protocol::layer_range> reload_steps(const protocol::layer_range& layers,
-                                                unsigned model_layers);
+/// What an engine is ordered to hold.
+struct load_step
+{
+  std::uint64_t version = 0;
+  protocol::layer_range layers;
+  /// Version whose pieces it takes; another one than `version` if the layers are only to be
+  /// dropped.
+  std::uint64_t piece_version = 0;
+
+  bool operator==(const load_step&) const = default;
+};
+
+/// The load of layers of a version from its own pieces.
+load_step make_load_step(std::uint64_t version, const protocol::layer_range& layers);
+
+/// Orders, one after the other, by which an engine loads each of `layers` again: a version that it
+/// holds already is not loaded by a second order. `model_layers`: layers of the whole model.
+std::vector<load_step> reload_steps(std::uint64_t version, const protocol::layer_range& layers,
+                                    unsigned model_layers);
 
 } // namespace pollenyoke::rollout
--- a/Source/UnitTests/Rollout/StagedCheckTest.cpp
+++ b/Source/UnitTests/Rollout/StagedCheckTest.cpp
@@ -59,27 +59,31 @@
         check_reload({from, to}, model_layers);
       }
     }
-    CPPUNIT_ASSERT(reload_steps({0, 1}, 1).empty());
+    check_reload({0, 1}, 1);
   }
 
 private:
   static void check_reload(const protocol::layer_range& layers, unsigned model_layers)
   {
-    const auto steps = reload_steps(layers, model_layers);
-    CPPUNIT_ASSERT(!steps.empty());
-    CPPUNIT_ASSERT(steps.back() == layers);
-    for (unsigned layer = layers.from; layer < layers.to; ++layer)
+    for (const std::uint64_t version : {1U, 2U, 7U})
     {
-      bool dropped = false;
-      bool loaded_again = false;
-      for (const auto& step : steps)
+      const auto steps = reload_steps(version, layers, model_layers);
+      CPPUNIT_ASSERT(!steps.empty());
+      CPPUNIT_ASSERT(steps.back() == make_load_step(version, layers));
+      for (unsigned layer = layers.from; layer < layers.to; ++layer)
       {
-        CPPUNIT_ASSERT(!step.is_empty() && step.to <= model_layers);
-        const bool held = step.contains({layer, layer + 1});
-        loaded_again = loaded_again || (dropped && held);
-        dropped = dropped || !held;
+        bool dropped = false;
+        bool loaded_again = false;
+        for (const auto& step : steps)
+        {
+          CPPUNIT_ASSERT(!step.layers.is_empty() && step.layers.to <= model_layers);
+          CPPUNIT_ASSERT(step.version > 0 && step.piece_version == version);
+          const bool held = step.version == version && step.layers.contains({layer, layer + 1});
+          loaded_again = loaded_again || (dropped && held);
+          dropped = dropped || !held;
+        }
+        CPPUNIT_ASSERT(loaded_again);
       }
-      CPPUNIT_ASSERT(loaded_again);
     }
   }
 };
