Peers, Gateway, Node: entries use only layers with a proof

Change: load reports name the engine's mark (start and number of orders) and whether it is proven. Where agents load the weights, an entry uses an engine only by a report that is younger than 2.5 s and proven, or whose mark an earlier run of the agent reported as proven; the store's record is no proof. Entries give that proof back to an agent that has restarted. Each request to an engine names the version that it expects. A choice of a single engine is checked again before it is sent, as that of a pipeline was before.

--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -20,6 +20,10 @@
 // An engine replaces its layers 0.3 s after the order at the earliest, so an older report does not
 // prove that it still holds them.
 constexpr milliseconds partial_report_lifetime{250};
+// A layer may have been taken from a piece that had been bad for 3 s only if the order was checked
+// that long before. An engine that restarted under its id since a younger report has no such layer
+// yet; the rest is for the way of the request.
+constexpr milliseconds whole_report_lifetime{2500};
 // Network round trip between the engines of a pipeline.
 constexpr double pipeline_round_trip_ms = 2;
 // Time until a request has reached the engine and appears in a load report.
@@ -236,6 +240,13 @@
 
 bool backend_table::holds_layers(const backend_choice& choice, time_point now) const
 {
+  const auto alone = m_servers.find(choice.id);
+  if (choice.pipeline.empty() && alone != m_servers.end())
+  {
+    const auto* service = find_service(alone->second.entry.service);
+    return !needs_proof(service) ||
+           known_version(alone->second, service, now) == choice.weight_version;
+  }
   return std::all_of(choice.pipeline.begin(), choice.pipeline.end(),
                      [this, &choice, now](const protocol::pipeline_stage& stage)
                      {
@@ -248,6 +259,7 @@
                        const protocol::layer_range held{load.part_from, load.part_to};
                        return now - known->second.layers_confirmed < partial_report_lifetime &&
                               load.part_version == choice.weight_version && !load.loading &&
+                              may_use_layers(load, find_service(known->second.entry.service)) &&
                               held.contains(stage.layers);
                      });
 }
@@ -340,17 +352,21 @@
 void backend_table::update_load(const peers::load_message& load, time_point now)
 {
   m_held_s += held_average_weight * (load.held_ms / 1000.0 - m_held_s);
+  if (load.proven && load.mark.started_ms != 0)
+  {
+    m_proven_marks[load.engine] = load.mark;
+  }
   const auto range = m_ids_by_address.equal_range(load.engine);
   for (auto indexed = range.first; indexed != range.second; ++indexed)
   {
     const std::string& id = indexed->second;
     server& backend = m_servers.at(id);
-    if (load.started_ms != 0 && backend.entry.started_ms != 0 &&
-        load.started_ms < backend.entry.started_ms)
+    if (load.mark.started_ms != 0 && backend.entry.started_ms != 0 &&
+        load.mark.started_ms < backend.entry.started_ms)
     {
       continue;
     }
-    if (load.leaving && load.started_ms == backend.entry.started_ms)
+    if (load.leaving && load.mark.started_ms == backend.entry.started_ms)
     {
       (void)add_leaving(id, backend.entry.started_ms, notice_source::agent, now);
     }
@@ -394,9 +410,37 @@
   return found == m_services.end() ? nullptr : &found->second;
 }
 
-/// Version of which the server holds all layers; 0 if there is none.
-std::uint64_t backend_table::known_version(const server& backend, const protocol::service* service)
+std::optional<peers::layer_proof> backend_table::find_proof(const peers::load_message& load) const
+{
+  const auto proven = m_proven_marks.find(load.engine);
+  if (proven == m_proven_marks.end() || proven->second != load.mark)
+  {
+    return std::nullopt;
+  }
+  return peers::layer_proof{.engine = load.engine, .mark = load.mark};
+}
+
+bool backend_table::needs_proof(const protocol::service* service)
 {
+  return service != nullptr && service->engine && service->engine->chunks > 0;
+}
+
+/// A proof holds for its mark for good, so that one of the agent's earlier run counts as well.
+bool backend_table::may_use_layers(const peers::load_message& load,
+                                   const protocol::service* service) const
+{
+  return !needs_proof(service) || load.proven || find_proof(load).has_value();
+}
+
+std::uint64_t backend_table::known_version(const server& backend, const protocol::service* service,
+                                           time_point now) const
+{
+  if (needs_proof(service))
+  {
+    const bool usable = backend.load && may_use_layers(*backend.load, service) &&
+                        now - backend.layers_confirmed < whole_report_lifetime;
+    return usable ? backend.load->weight_version : 0;
+  }
   // The agent's load report is newer than the record in the store.
   if (backend.load)
   {
@@ -439,7 +483,7 @@
   {
     return true;
   }
-  const std::uint64_t version = known_version(backend, service);
+  const std::uint64_t version = known_version(backend, service, now);
   return version != 0 && version >= request.minimum_version;
 }
 
@@ -449,7 +493,8 @@
 {
   const bool fresh = backend.load && now - backend.layers_confirmed < partial_report_lifetime;
   // A request to a pipeline would need a permit for each of its engines.
-  if (!fresh || is_limited(backend) || backend.load->part_version == 0 ||
+  if (!fresh || !may_use_layers(*backend.load, find_service(request.service)) ||
+      is_limited(backend) || backend.load->part_version == 0 ||
       backend.load->part_version < request.newest_version ||
       backend.load->part_version < request.minimum_version ||
       !accepts_requests(backend, request, now))
@@ -615,7 +660,7 @@
                      .address = chosen.entry.address,
                      .first_byte_ms = first.expected.first_byte_ms,
                      .wait_ms = first.expected.wait_ms,
-                     .weight_version = known_version(chosen, find_service(request.service)),
+                     .weight_version = known_version(chosen, find_service(request.service), now),
                      .started_ms = chosen.entry.started_ms,
                      .limited = is_limited(chosen)};
   if (first.part.is_empty())
--- a/Source/Core/Gateway/BackendTable.h
+++ b/Source/Core/Gateway/BackendTable.h
@@ -126,6 +126,9 @@
   /// `keep_until`: set if the record may merely have expired; the server stays in use until then.
   void remove(const std::string& id, std::optional<time_point> keep_until);
   void update_load(const peers::load_message& load, time_point now);
+  /// The proof that an earlier report of the engine held for the mark of this one; empty if there
+  /// was none.
+  std::optional<peers::layer_proof> find_proof(const peers::load_message& load) const;
   /// The server wants no new requests, whatever its record says. Returns false if it was known.
   bool add_leaving(const std::string& id, std::uint64_t started_ms, notice_source source,
                    time_point now);
@@ -138,7 +141,7 @@
   bool end_limit(const std::string& id, std::uint64_t started_ms, time_point asked);
   /// False if one of the servers of a choice has said since that it leaves or wants no requests.
   bool wants_requests(const backend_choice& choice, time_point now) const;
-  /// False if the engines of a pipeline are not known to hold their layers any more.
+  /// False if the engines of a choice are not known to hold their layers any more.
   bool holds_layers(const backend_choice& choice, time_point now) const;
   /// What an entry says when it asks for a permit; empty if the server names no limit.
   std::optional<permit_query> make_permit_query(const backend_choice& choice, time_point now) const;
@@ -188,7 +191,13 @@
     time_point avoid_until{};
   };
 
-  static std::uint64_t known_version(const server& backend, const protocol::service* service);
+  /// Whether agents load the weights of the service, so that only layers with a proof are used.
+  static bool needs_proof(const protocol::service* service);
+  /// Whether the layers that the report names may be used for requests to the service.
+  bool may_use_layers(const peers::load_message& load, const protocol::service* service) const;
+  /// Version of which the server holds all layers; 0 if there is none that may be used.
+  std::uint64_t known_version(const server& backend, const protocol::service* service,
+                              time_point now) const;
   const protocol::service* find_service(const std::string& name) const;
   bool is_leaving(const server& backend) const;
   bool is_limited(const server& backend) const;
@@ -241,6 +250,8 @@
   std::map<std::string, server> m_servers;
   /// Ids of the servers by `IP:PORT`, as load reports name engines by their address.
   std::unordered_multimap<std::string, std::string> m_ids_by_address;
+  /// Last proven mark of each engine, by its `IP:PORT`.
+  std::unordered_map<std::string, peers::engine_mark> m_proven_marks;
   server_notices m_notices;
   std::map<std::string, protocol::service> m_services;
   std::map<std::string, arrival_rate> m_arrivals;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -142,6 +142,11 @@
   m_context.backends.update_load(load, current_time());
 }
 
+std::optional<peers::layer_proof> gateway::find_proof(const peers::load_message& load) const
+{
+  return m_context.backends.find_proof(load);
+}
+
 void gateway::receive(const peers::peer_message& message, const std::string& from)
 {
   if (const auto* limit = std::get_if<peers::server_limit>(&message))
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -45,6 +45,8 @@
   /// then.
   void remove_backend(const std::string& id, std::optional<time_point> may_return_until);
   void update_load(const peers::load_message& load);
+  /// See backend_table.
+  std::optional<peers::layer_proof> find_proof(const peers::load_message& load) const;
   /// Handles what another entry tells of backend servers. `from`: its address.
   void receive(const peers::peer_message& message, const std::string& from = {});
   /// Content under which servers crash; empty if there is none.
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -494,7 +494,8 @@
     async_io::append_field(out, names::team, m_request.caller.team);
   }
   const bool in_pipeline = !choice.pipeline.empty();
-  if ((m_minimum_version != 0 || in_pipeline) && choice.weight_version != 0)
+  // The engine may load weights meanwhile that are not known to be whole.
+  if (choice.weight_version != 0)
   {
     async_io::append_field(out, names::expected_weights, std::to_string(choice.weight_version));
   }
--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -91,6 +91,11 @@
                 return;
               }
               m_rollout.serve_piece(head, respond);
+            },
+            .on_proof =
+                [this](const peers::layer_proof& proof)
+            {
+              m_rollout.add_proof(proof.mark);
             }};
   }
 
@@ -228,7 +233,8 @@
                        .load_in_ms = static_cast<std::uint32_t>(
                            state.load_in.value_or(std::chrono::milliseconds(0)).count()),
                        .pace = static_cast<float>(report.pace),
-                       .started_ms = report.started_ms,
+                       .mark = {report.started_ms, report.orders},
+                       .proven = state.proven,
                        .stamp = {.run = m_run,
                                  .made_ms = static_cast<std::uint32_t>(
                                      std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -118,10 +118,11 @@
             { m_relay.serve(head, respond); },
             .on_entry_message = [this](const peers::peer_message& message, const std::string& from)
             { m_gateway.receive(message, from); },
-            .quarantine_digest =
-                [this]
+            .quarantine_digest = [this] { return m_gateway.quarantine_digest(); },
+            .find_proof =
+                [this](const peers::load_message& load)
             {
-              return m_gateway.quarantine_digest();
+              return m_gateway.find_proof(load);
             }};
   }
 
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -274,6 +274,7 @@
   if (const auto* load = std::get_if<peers::load_message>(&*message))
   {
     m_handlers.on_load(*load);
+    return_proof(*load, from.ip);
     if (load->pass_on)
     {
       pass_on(*load);
@@ -293,6 +294,14 @@
     m_handlers.on_send_notice(*notice);
     return;
   }
+  if (const auto* proof = std::get_if<peers::layer_proof>(&*message))
+  {
+    if (m_handlers.on_proof)
+    {
+      m_handlers.on_proof(*proof);
+    }
+    return;
+  }
   if (const auto* news = std::get_if<peers::piece_announcement>(&*message))
   {
     m_handlers.on_announcement(from.ip, *news);
@@ -318,6 +327,16 @@
   }
 }
 
+void peer_service::return_proof(const peers::load_message& load, const std::string& agent_ip)
+{
+  const auto proof =
+      load.proven || !m_handlers.find_proof ? std::nullopt : m_handlers.find_proof(load);
+  if (proof)
+  {
+    m_udp.send(peers::encode_message(*proof), {agent_ip, m_settings.peer_port});
+  }
+}
+
 void peer_service::pass_on(const peers::load_message& load)
 {
   const auto entries = live(peers::peer_role::entry);
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -46,6 +46,10 @@
   std::function<void(const peers::peer_message&, const std::string& from)> on_entry_message =
       nullptr;
   std::function<std::optional<peers::quarantine_digest>()> quarantine_digest = nullptr;
+  /// Proof of an earlier run of the agent for the layers that its report names; empty at agents.
+  std::function<std::optional<peers::layer_proof>(const peers::load_message&)> find_proof = nullptr;
+  /// Such a proof has arrived; empty at entries.
+  std::function<void(const peers::layer_proof&)> on_proof = nullptr;
 };
 
 /// Talks with the other processes of the fleet: who is there, load of engines, state and pieces.
@@ -116,6 +120,8 @@
   bool is_introduced() const;
   /// Permits are assigned by the entries that are live now.
   void observe_entries();
+  /// An agent that has restarted gets back what it had proven before.
+  void return_proof(const peers::load_message& load, const std::string& agent_ip);
   void pass_on(const peers::load_message& load);
   void send_to_own_domain(const peers::peer_message& message);
   void send_load_batches();
--- a/Source/Core/Peers/PeerMessages.h
+++ b/Source/Core/Peers/PeerMessages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Common/Result.h"
+#include "Peers/EngineMark.h"
 #include "Peers/ReportClock.h"
 
 namespace pollenyoke::peers
@@ -116,7 +117,10 @@
   /// Time until the engine's planned load, in ms; 0 if none is planned.
   std::uint32_t load_in_ms = 0;
   float pace = 1;
-  std::uint64_t started_ms = 0;
+  /// Start of the engine and number of its orders at the time of the report.
+  engine_mark mark;
+  /// The layers that the engine holds are known to be made of whole pieces.
+  bool proven = false;
   /// The receiver forwards the report to the other entries of its failure domain.
   bool pass_on = false;
   /// Time that the report has waited at an entry that forwards it, in ms.
@@ -128,7 +132,7 @@
   void serialize(Archive& archive)
   {
     archive(engine, waiting, running, unread_tokens, weight_version, part_version, part_from,
-            part_to, loading, leaving, load_in_ms, pace, started_ms, pass_on, held_ms, stamp);
+            part_to, loading, leaving, load_in_ms, pace, mark, proven, pass_on, held_ms, stamp);
   }
 };
 
@@ -144,6 +148,21 @@
   }
 };
 
+/// Tells the agent of an engine, after its restart, that the one before it reported the layers of
+/// the engine as proven at this mark.
+struct layer_proof
+{
+  /// Address of the engine as `IP:PORT`.
+  std::string engine;
+  engine_mark mark;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(engine, mark);
+  }
+};
+
 /// Tells the agent on an engine's host that an entry has just sent a request to the engine.
 struct send_notice
 {
@@ -301,7 +320,7 @@
 using peer_message =
     std::variant<gossip_message, load_message, send_notice, piece_announcement, crash_report,
                  content_clearance, quarantine_digest, server_leaving, load_batch, server_limit,
-                 permit_request, permit_answer>;
+                 permit_request, permit_answer, layer_proof>;
 
 std::string encode_message(const peer_message& message);
 result<peer_message> decode_message(std::string_view datagram);
--- a/Source/UnitTests/Gateway/LoadPatternTest.cpp
+++ b/Source/UnitTests/Gateway/LoadPatternTest.cpp
@@ -104,7 +104,7 @@
     {
       peers::load_message load;
       load.engine = engine;
-      load.started_ms = started_ms;
+      load.mark.started_ms = started_ms;
       load.weight_version = 1;
       load.loading = loading;
       table.update_load(load, t0);
