Peers, Node: the record of a host keeps what its engine is proven to hold

Cause: a loss of all processes takes the memory of the entries as well.

Change: when an engine holds all layers of a version and they are proven, its agent writes the mark into the record of its host in the store. The record is read at the start of a process anyway. An older copy of the store can only lack a proof: a proof holds for its mark for good.

--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -93,9 +93,9 @@
               m_rollout.serve_piece(head, respond);
             },
             .on_proof =
-                [this](const peers::layer_proof& proof)
+                [this](const peers::engine_mark& proof)
             {
-              m_rollout.add_proof(proof.mark);
+              m_rollout.add_proof(proof);
             }};
   }
 
@@ -149,10 +149,11 @@
               m_peers.set_has_engine(true);
               send_load(report, state);
             },
-            .on_engine_lost =
-                [this]
+            .on_engine_lost = [this] { m_peers.set_has_engine(false); },
+            .on_proven =
+                [this](const peers::engine_mark& mark)
             {
-              m_peers.set_has_engine(false);
+              m_peers.set_proof(mark);
             }};
   }
 
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -74,7 +74,11 @@
              [this](const async_io::message_head& head,
                     const async_io::http_listener::responder& respond) { serve(head, respond); }),
       m_gossip_timer(loop), m_register_timer(loop), m_hosts_timer(loop), m_load_relay_timer(loop),
-      m_introduction_timer(loop), m_permit_owners(settings.ip)
+      m_introduction_timer(loop), m_record{.role = settings.role == protocol::process_role::entry
+                                                       ? peers::peer_role::entry
+                                                       : peers::peer_role::agent,
+                                           .proof = {}},
+      m_permit_owners(settings.ip)
 {
 }
 
@@ -298,7 +302,7 @@
   {
     if (m_handlers.on_proof)
     {
-      m_handlers.on_proof(*proof);
+      m_handlers.on_proof(proof->mark);
     }
     return;
   }
@@ -523,12 +527,32 @@
   respond({.status = 404});
 }
 
+void peer_service::set_proof(const peers::engine_mark& mark)
+{
+  if (m_record.proof == mark)
+  {
+    return;
+  }
+  m_record.proof = mark;
+  m_record_changed = true;
+  if (!m_registering)
+  {
+    register_host();
+  }
+}
+
 void peer_service::register_host()
 {
-  m_store.append(state_feed::record_topic::hosts, m_settings.ip,
-                 m_settings.role == protocol::process_role::entry ? "entry" : "agent",
+  m_registering = true;
+  m_record_changed = false;
+  m_store.append(state_feed::record_topic::hosts, m_settings.ip, peers::to_text(m_record),
                  [this](const result<void>& outcome)
                  {
+                   if (outcome && m_record_changed)
+                   {
+                     register_host();
+                     return;
+                   }
                    if (outcome)
                    {
                      m_registering = false;
@@ -597,17 +621,36 @@
 }
 
 /// A host that has run before is listed already.
+void peer_service::take_own_record(const std::string& text)
+{
+  const auto record = peers::parse_host_record(text);
+  if (!record)
+  {
+    log_warning(log_category::membership, "record of this host cannot be read",
+                {{"reason", record.error().message}});
+    return;
+  }
+  if (record->proof && !m_record.proof && m_handlers.on_proof)
+  {
+    m_record.proof = record->proof;
+    m_handlers.on_proof(*record->proof);
+  }
+}
+
 void peer_service::take_hosts(const state_feed::record_page& page)
 {
   bool listed = false;
   for (const auto& host : page.records)
   {
-    listed = listed || host.key == m_settings.ip;
     m_table.add_candidate(host.key);
+    if (host.key == m_settings.ip && host.value)
+    {
+      listed = true;
+      take_own_record(*host.value);
+    }
   }
   if (!listed && !m_registering)
   {
-    m_registering = true;
     register_host();
   }
   greet_all();
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -12,6 +12,7 @@
 #include "AsyncIo/HttpListener.h"
 #include "AsyncIo/UdpSocket.h"
 #include "Common/BootClock.h"
+#include "Peers/HostRecord.h"
 #include "Peers/KeyOwner.h"
 #include "Peers/LoadRelay.h"
 #include "Peers/PeerTable.h"
@@ -48,8 +49,8 @@
   std::function<std::optional<peers::quarantine_digest>()> quarantine_digest = nullptr;
   /// Proof of an earlier run of the agent for the layers that its report names; empty at agents.
   std::function<std::optional<peers::layer_proof>(const peers::load_message&)> find_proof = nullptr;
-  /// Such a proof has arrived; empty at entries.
-  std::function<void(const peers::layer_proof&)> on_proof = nullptr;
+  /// Such a proof has arrived, or stands in the store; empty at entries.
+  std::function<void(const peers::engine_mark&)> on_proof = nullptr;
 };
 
 /// Talks with the other processes of the fleet: who is there, load of engines, state and pieces.
@@ -63,6 +64,9 @@
   result<void> start();
   void set_leaving();
   void set_has_engine(bool has_engine);
+  /// Keeps in the store, for the next start of this process, that the layers of the engine are
+  /// proven at this mark.
+  void set_proof(const peers::engine_mark& mark);
   /// Tells all entries, those of other failure domains through one of them each.
   void send_load(const peers::load_message& load);
   void send_notice(const std::string& agent_ip, const peers::send_notice& notice);
@@ -112,6 +116,7 @@
   void serve_changes(const async_io::message_head& head,
                      const async_io::http_listener::responder& respond);
   void register_host();
+  void take_own_record(const std::string& text);
   void read_hosts();
   void read_hosts_if_due();
   void take_hosts(const state_feed::record_page& page);
@@ -149,6 +154,9 @@
   /// Processes that started at once read the list at different times.
   double m_hosts_read_jitter = 1;
   bool m_registering = false;
+  /// Record of this host, and whether it has changed since it was written.
+  peers::host_record m_record;
+  bool m_record_changed = false;
   /// When this process last wrote the record of its host.
   std::optional<async_io::time_point> m_registered_at;
   peers::key_owner m_permit_owners;
--- a/Source/Core/Rollout/ProvenLayers.cpp
+++ b/Source/Core/Rollout/ProvenLayers.cpp
@@ -1,21 +1,35 @@
 #include "Rollout/ProvenLayers.h"
 
+#include <algorithm>
+#include <cstddef>
+
 namespace pollenyoke::rollout
 {
 
+namespace
+{
+
+// A report lags behind by a load at most, and a proof from elsewhere may be older than the own one.
+constexpr std::size_t kept_marks = 8;
+
+} // namespace
+
 void proven_layers::add(const peers::engine_mark& mark)
 {
-  if (mark.started_ms != m_started_ms)
+  if (mark.started_ms == 0 || covers(mark))
+  {
+    return;
+  }
+  m_marks.push_back(mark);
+  if (m_marks.size() > kept_marks)
   {
-    m_started_ms = mark.started_ms;
-    m_orders.clear();
+    m_marks.pop_front();
   }
-  m_orders.insert(mark.orders);
 }
 
 bool proven_layers::covers(const peers::engine_mark& mark) const
 {
-  return mark.orders == 0 || (mark.started_ms == m_started_ms && m_orders.contains(mark.orders));
+  return mark.orders == 0 || std::find(m_marks.begin(), m_marks.end(), mark) != m_marks.end();
 }
 
 } // namespace pollenyoke::rollout
--- a/Source/Core/Rollout/ProvenLayers.h
+++ b/Source/Core/Rollout/ProvenLayers.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include <cstdint>
-#include <set>
+#include <deque>
 
 #include "Peers/EngineMark.h"
 
@@ -13,14 +12,13 @@
 class proven_layers
 {
 public:
+  /// Only the newest marks are kept. Marks without a start of the engine are left out.
   void add(const peers::engine_mark& mark);
   /// An engine that has accepted no order holds what the platform has loaded, or nothing.
   bool covers(const peers::engine_mark& mark) const;
 
 private:
-  /// Start of the engine that reported last.
-  std::uint64_t m_started_ms = 0;
-  std::set<std::uint64_t> m_orders;
+  std::deque<peers::engine_mark> m_marks;
 };
 
 } // namespace pollenyoke::rollout
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -224,13 +224,13 @@
 
 void rollout_agent::add_proof(const peers::engine_mark& mark)
 {
-  if (!m_report || mark != mark_of(*m_report) || is_proven() || m_rejected || m_load.version != 0)
+  m_proven.add(mark);
+  if (!is_proven() || !m_unproven_mark || m_load.version != 0)
   {
     return;
   }
-  log_info(log_category::weights, "entries know the layers of the engine to be whole",
+  log_info(log_category::weights, "layers of the engine were proven before this process started",
            {{"version", m_report->weight_version}, {"orders", mark.orders}});
-  m_proven.add(mark);
   m_unproven_mark.reset();
   m_reload.reset();
   publish_report(is_loading());
@@ -278,6 +278,10 @@
   {
     m_reload.reset();
     m_rejected = false;
+    if (engine_holds_all_layers() && m_handlers.on_proven)
+    {
+      m_handlers.on_proven(mark_of(*m_report));
+    }
   }
   ++m_load_attempt;
   m_order_accepted_at.reset();
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -43,6 +43,8 @@
   std::function<void(const protocol::engine_report&, const engine_state&)> on_report;
   /// Called once the engine has failed several polls in a row.
   std::function<void()> on_engine_lost;
+  /// Called when all layers that the engine holds at a mark have been proven by a load.
+  std::function<void(const peers::engine_mark&)> on_proven = nullptr;
 };
 
 /// Updates the engine of this host to the newest known version of its weights and serves pieces to
@@ -61,7 +63,7 @@
   void start();
   void set_model(const std::string& model, const weight_shape& shape);
   void add_version(const protocol::named_version& version);
-  /// An entry remembers that the layers of the engine were proven at this mark.
+  /// An earlier run of this process has proven the layers of the engine at this mark.
   void add_proof(const peers::engine_mark& mark);
   /// Handles the announcement of another agent about the pieces it holds.
   void handle_announcement(const std::string& ip, const peers::piece_announcement& received);
