Gateway: an engine that loads isn't used while its agent is silent

Cause: 0.7 s after the last report an entry took no notice of "loading" any more. With the agent killed, or its engine silent, a load order may still be on its way then, and requests that wait at the engine begin behind the load.

Change: where agents load the weights, "loading" holds until a newer report. An engine without reports isn't used after 2.5 s anyway.

--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -466,8 +466,10 @@
   {
     return false;
   }
-  const bool loading =
-      backend.load && now - backend.load_received < load_report_lifetime && backend.load->loading;
+  // An order may be on its way to an engine whose agent has fallen silent.
+  const bool counts = backend.load && (needs_proof(find_service(request.service)) ||
+                                       now - backend.load_received < load_report_lifetime);
+  const bool loading = counts && backend.load->loading;
   return !loading && !(backend.probing && backend.in_flight > 0);
 }
 
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -269,7 +269,7 @@
             {"after_ms", m_named_versions.contains(m_load.version)
                              ? since(m_named_versions.at(m_load.version)).count()
                              : 0}});
-  if (m_reload && m_reload->steps.front() == m_load)
+  if (m_reload && !m_reload->steps.empty() && m_reload->steps.front() == m_load)
   {
     m_reload->steps.pop_front();
     m_reload->mark = mark_of(*m_report);
