Rollout: late pieces and other runs' orders are no proof either

Change: unless the agent has seen the engine's start and all of its pieces were answered, the staged pieces are read once more after the order was accepted, and an order that was accepted late, or without an answer, has the layers loaded again. What is loaded must be exactly what was ordered. Where the engine held unproven layers before, the proof waits until it reports the new ones.

The two tests of a lost answer expect one order, as before; that holds for an engine whose start the agent has seen, so they begin with one.

--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -184,7 +184,7 @@
   m_loads_while_serving = false;
   m_load_in_doubt = false;
   m_rechecking = false;
-  m_staging_unanswered = false;
+  m_staging_is_known = m_unanswered_stagings == 0;
   m_unproven_mark.reset();
   m_rejected = false;
   m_reload.reset();
@@ -257,6 +257,10 @@
     recheck_load();
     return;
   }
+  if (may_prove_load())
+  {
+    prove_load();
+  }
   finish_load();
 }
 
@@ -293,7 +297,7 @@
 void rollout_agent::resolve_unanswered_order()
 {
   if (!m_unanswered_order || m_order_in_flight ||
-      m_report->orders <= m_unanswered_order->base.orders)
+      m_report->orders <= m_unanswered_order->base.mark.orders)
   {
     return;
   }
@@ -302,34 +306,25 @@
   ++m_load_attempt;
   m_load = order.step;
   m_load_base = order.base;
-  m_keeps_unproven_layers = order.keeps_unproven_layers;
   m_loads_while_serving = false;
-  m_order_accepted_at = current_time();
-  m_load_in_doubt = true;
-  m_rechecking = false;
   log_info(log_category::weights, "engine accepted a load order without an answer",
            {{"version", order.step.version}});
-  if (order.restaged || m_report->orders != order.base.orders + 1)
+  if (order.restaged || !m_staging_is_known || m_report->orders != order.base.mark.orders + 1)
   {
     reject_load();
+    return;
   }
-}
-
-bool rollout_agent::holds_ordered_layers() const
-{
-  if (m_report->weight_version != m_load.version)
-  {
-    return false;
-  }
-  // Layers are only loaded again if the engine has dropped them before.
-  return m_reload ? m_report->layers == m_load.layers || !m_report->layers
-                  : !m_report->layers || m_report->layers->contains(m_load.layers);
+  m_order_accepted_at = current_time();
+  m_order_answered = false;
+  m_load_in_doubt = true;
+  m_rechecking = false;
 }
 
 bool rollout_agent::has_loaded() const
 {
-  const bool may_be_newer = !m_load_in_doubt && !m_reload;
-  return holds_ordered_layers() || (may_be_newer && m_report->weight_version > m_load.version);
+  // An engine that does not state its layers holds all of them.
+  return m_report->weight_version == m_load.version &&
+         (!m_report->layers || m_report->layers == m_load.layers);
 }
 
 std::size_t rollout_agent::position_in_region() const
@@ -734,9 +729,9 @@
 {
   ++m_load_attempt;
   m_load = step;
-  m_load_base = mark_of(*m_report);
-  m_keeps_unproven_layers =
-      engine_has_weights() && m_report->weight_version == step.version && !is_proven();
+  m_load_base = {.mark = mark_of(*m_report),
+                 .version = m_report->weight_version,
+                 .sound = !engine_has_weights() || is_proven()};
   m_checks = 0;
   if (m_unanswered_order && held_pieces(m_unanswered_order->step.piece_version,
                                         m_unanswered_order->step.layers) != nullptr)
@@ -744,7 +739,7 @@
     // An order that is only delayed would load its version from the pieces of the other one, so the
     // engine is given the same order again. It accepts one of the two.
     m_load = m_unanswered_order->step;
-    m_keeps_unproven_layers = m_unanswered_order->keeps_unproven_layers;
+    m_load_base = m_unanswered_order->base;
     m_unanswered_order->restaged = true;
   }
   publish_report(!m_loads_while_serving);
@@ -792,27 +787,32 @@
     begin_check();
     return;
   }
+  ++m_unanswered_stagings;
+  auto next = for_current_load(
+      [this, piece](const result<async_io::http_response>& answer)
+      {
+        if (!answer || answer->head.status / 100 != 2)
+        {
+          abort_load(answer ? "staging answered " + std::to_string(answer->head.status)
+                            : answer.error().message);
+          return;
+        }
+        stage_piece(piece + 1);
+      });
   m_environment.caller.call(platform::stage_put_call(m_engine, m_model, piece, *pieces->get(piece)),
-                            for_current_load(
-                                [this, piece](const result<async_io::http_response>& answer)
-                                {
-                                  if (!answer || answer->head.status / 100 != 2)
-                                  {
-                                    m_staging_unanswered = m_staging_unanswered || !answer;
-                                    abort_load(answer ? "staging answered " +
-                                                            std::to_string(answer->head.status)
-                                                      : answer.error().message);
-                                    return;
-                                  }
-                                  stage_piece(piece + 1);
-                                }));
+                            [this, next = std::move(next)](const auto& answer)
+                            {
+                              --m_unanswered_stagings;
+                              m_staging_is_known = m_staging_is_known && answer.has_value();
+                              next(answer);
+                            });
 }
 
 void rollout_agent::begin_check()
 {
   ++m_checks;
   m_confirmations = 0;
-  m_check.emplace(boot_clock::now(), m_load_base.started_ms);
+  m_check.emplace(boot_clock::now(), m_load_base.mark.started_ms);
   verify_staged_piece(pieces_for_layers(m_load.layers, m_shape).first);
 }
 
@@ -871,7 +871,7 @@
     abort_load(report.error().message);
     return;
   }
-  if (mark_of(*report) != m_load_base)
+  if (mark_of(*report) != m_load_base.mark)
   {
     abort_load("engine restarted or accepted another order");
     return;
@@ -896,9 +896,9 @@
 {
   const bool is_part = m_load.layers != protocol::layer_range{0, m_shape.layers};
   const auto layers = is_part ? std::optional(m_load.layers) : std::nullopt;
-  auto call = platform::start_call(m_engine, m_model, m_load.version, layers, m_load_base.orders,
-                                   m_loads_while_serving ? platform::running_work::finish
-                                                         : platform::running_work::cut);
+  auto call = platform::start_call(
+      m_engine, m_model, m_load.version, layers, m_load_base.mark.orders,
+      m_loads_while_serving ? platform::running_work::finish : platform::running_work::cut);
   call.timeout = std::min(call.timeout, m_check->order_time_limit(boot_clock::now()));
   call.session = std::move(session);
   m_order_in_flight = true;
@@ -923,10 +923,7 @@
   }
   if (!answer)
   {
-    m_unanswered_order = {.step = m_load,
-                          .base = m_load_base,
-                          .keeps_unproven_layers = m_keeps_unproven_layers,
-                          .lost_at = current_time()};
+    m_unanswered_order = {.step = m_load, .base = m_load_base, .lost_at = current_time()};
     abort_load("answer to the order was lost: " + answer.error().message);
     return;
   }
@@ -943,27 +940,51 @@
             {"status", answer->head.status},
             {"running", m_report ? m_report->running : 0}});
   m_unanswered_order.reset();
-  m_order_accepted_at = current_time();
+  const bool is_staging_known = m_staging_is_known && m_unanswered_stagings == 0;
   // The process or the engine may have stood still after the order was sent.
-  m_load_in_doubt = !m_check->covers(boot_clock::now()) || m_staging_unanswered;
+  const bool in_time = m_check->covers(boot_clock::now());
+  if (!in_time && !is_staging_known)
+  {
+    reject_load();
+    return;
+  }
+  m_order_accepted_at = current_time();
+  m_order_answered = true;
+  m_load_in_doubt = !in_time || !is_staging_known;
   m_rechecking = false;
-  if (!m_load_in_doubt)
+  if (m_load_in_doubt)
   {
-    prove_load();
+    recheck_load();
+  }
+  else
+  {
+    settle_doubt();
   }
 }
 
-void rollout_agent::prove_load()
+/// Of an order that was answered it is known that it has been accepted. The engine may go on with
+/// the layers that it held before, if they were proven.
+void rollout_agent::settle_doubt()
 {
   m_load_in_doubt = false;
-  const bool ends_reload =
-      m_reload && m_reload->steps.size() == 1 && m_reload->steps.front() == m_load;
-  const bool took_all = !m_keeps_unproven_layers && m_load.piece_version == m_load.version;
-  if (ends_reload || took_all)
+  if (m_order_answered && m_load_base.sound && may_prove_load())
   {
-    m_proven.add({m_load_base.started_ms, m_load_base.orders + 1});
-    m_rejected = false;
+    prove_load();
   }
+}
+
+bool rollout_agent::may_prove_load() const
+{
+  const bool ends_reload =
+      m_reload && m_reload->steps.size() == 1 && m_reload->steps.front() == m_load;
+  const bool keeps_no_unproven = m_load_base.sound || m_load_base.version != m_load.version;
+  return ends_reload || (keeps_no_unproven && m_load.piece_version == m_load.version);
+}
+
+void rollout_agent::prove_load()
+{
+  m_proven.add({m_load_base.mark.started_ms, m_load_base.mark.orders + 1});
+  m_rejected = false;
   if (m_report)
   {
     watch_proof();
@@ -986,7 +1007,7 @@
   {
     log_info(log_category::weights, "engine took whole pieces", {{"version", m_load.version}});
     m_rechecking = false;
-    prove_load();
+    settle_doubt();
     return;
   }
   m_environment.caller.call(platform::stage_get_call(m_engine, m_model, piece),
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -75,13 +75,19 @@
                    const async_io::http_listener::responder& respond);
 
 private:
+  /// What the engine held before an order.
+  struct load_base
+  {
+    peers::engine_mark mark;
+    std::uint64_t version = 0;
+    /// It held nothing, or proven layers.
+    bool sound = false;
+  };
   /// A load order without an answer. The engine may accept it at any later moment of its run.
   struct unanswered_order
   {
     load_step step;
-    /// Mark of the engine without the order.
-    peers::engine_mark base;
-    bool keeps_unproven_layers = false;
+    load_base base;
     async_io::time_point lost_at{};
     /// Pieces were staged again since, so that they do not show what such an order took.
     bool restaged = false;
@@ -134,10 +140,11 @@
   load_inputs make_load_inputs() const;
   void start_load(const load_step& step);
   /// Whether the engine reports the version and layers that it was ordered to load.
-  bool holds_ordered_layers() const;
-  /// Whether the engine reports those or a newer version.
   bool has_loaded() const;
   /// The engine has taken whole pieces for the current load.
+  void settle_doubt();
+  /// Whether the engine holds no unproven layer once it has loaded those of the current load.
+  bool may_prove_load() const;
   void prove_load();
   /// Forgets all that belongs to the start of the engine that has ended.
   void forget_engine_state();
@@ -209,10 +216,7 @@
   std::optional<async_io::time_point> m_draining_since;
   /// What is being staged and loaded; the version is 0 if there is no load.
   load_step m_load;
-  /// Mark of the engine before its order.
-  peers::engine_mark m_load_base;
-  /// The engine holds layers of the same version without a proof, which the order does not replace.
-  bool m_keeps_unproven_layers = false;
+  load_base m_load_base;
   /// Whether the engine keeps serving during the current load.
   bool m_loads_while_serving = false;
   /// Changes with each load, so that answers to calls of an earlier one are recognized.
@@ -225,12 +229,15 @@
   bool m_order_in_flight = false;
   /// When the engine accepted the load order for that version.
   std::optional<async_io::time_point> m_order_accepted_at;
-  /// The engine may have taken pieces later than the check of them allows.
+  bool m_order_answered = false;
+  /// The engine may have taken pieces later than the check of them allows, or other ones.
   bool m_load_in_doubt = false;
   bool m_rechecking = false;
   std::optional<unanswered_order> m_unanswered_order;
-  /// A piece whose staging was not answered may still replace one that is staged later.
-  bool m_staging_unanswered = false;
+  unsigned m_unanswered_stagings = 0;
+  /// All pieces that were sent to this start of the engine were sent by this process and answered.
+  /// Others may still replace a piece that is staged later.
+  bool m_staging_is_known = false;
   proven_layers m_proven;
   /// Mark without a proof that the engine reported last, and when it did so first.
   std::optional<peers::engine_mark> m_unproven_mark;
--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -150,6 +150,7 @@
   /// Layers that were taken while a piece of them was bad.
   std::set<unsigned> m_spoilt_layers;
   bool m_spoilt_layers_offered = false;
+  unsigned m_reports = 0;
   bool m_loading_reported = false;
   bool m_was_loading_reported = false;
   unsigned m_origin_reads = 0;
@@ -384,6 +385,7 @@
         m_engine->address(),
         rollout_handlers{[this](const protocol::engine_report&, const engine_state& state)
                          {
+                           ++m_reports;
                            m_was_loading_reported = m_was_loading_reported || state.loading;
                            m_loading_reported = state.loading;
                            m_spoilt_layers_offered = m_spoilt_layers_offered ||
@@ -433,10 +435,20 @@
     check_loads();
   }
 
+  /// An engine whose start the agent has seen: no piece of an earlier run of the agent can reach it
+  /// late.
+  void start_agent_before_engine()
+  {
+    m_agent->start();
+    run_until([this] { return m_reports > 0; });
+    CPPUNIT_ASSERT(m_staged.empty());
+    m_engine_started = 2;
+  }
+
   void order_is_not_repeated_after_a_lost_answer()
   {
     m_order_answers_to_lose = 1;
-    m_agent->start();
+    start_agent_before_engine();
     run_until([this] { return serves_version_2(); });
     const auto end = std::chrono::steady_clock::now() + milliseconds(1500);
     run_until([end] { return std::chrono::steady_clock::now() > end; });
@@ -449,7 +461,7 @@
   {
     m_engine_version = 1;
     m_order_answers_to_lose = 1;
-    m_agent->start();
+    start_agent_before_engine();
     run_until([this] { return serves_version_2(); });
     CPPUNIT_ASSERT(m_was_loading_reported);
     run_until([this] { return !m_loading_reported; });
