--- a/Source/UnitTests/Rollout/EngineStandIn.cpp
+++ b/Source/UnitTests/Rollout/EngineStandIn.cpp
@@ -151,6 +151,16 @@
   }
 }
 
+void engine_stand_in::release_answers()
+{
+  const auto held = std::move(m_held_answers);
+  m_held_answers.clear();
+  for (const auto& write : held)
+  {
+    write();
+  }
+}
+
 void engine_stand_in::restart(bool loses_staged_pieces)
 {
   started_ms += 1000;
@@ -301,12 +311,21 @@
   {
     on_executed(kind, piece);
   }
-  const bool lost = fate == call_fate::answer_lost || started != started_ms;
-  call.respond(lost ? std::string() : answer);
-  if (on_answered)
+  const auto write = [this, kind, piece, started, fate, answer, respond = call.respond]
   {
-    on_answered(kind, piece);
+    const bool lost = fate == call_fate::answer_lost || started != started_ms;
+    respond(lost ? std::string() : answer);
+    if (on_answered)
+    {
+      on_answered(kind, piece);
+    }
+  };
+  if (fate == call_fate::answer_held)
+  {
+    m_held_answers.push_back(write);
+    return;
   }
+  write();
 }
 
 std::string engine_stand_in::execute_order(const std::string& order)
@@ -332,6 +351,7 @@
   }
   ++m_orders;
   ++accepted_orders;
+  ordered_versions.push_back(version);
   if (orders_to_ignore > 0)
   {
     --orders_to_ignore;
--- a/Source/UnitTests/Rollout/EngineStandIn.h
+++ b/Source/UnitTests/Rollout/EngineStandIn.h
@@ -61,6 +61,8 @@
 {
   answered,
   answer_lost,
+  /// It is answered when release_answers() is called.
+  answer_held,
   /// It never reaches the engine.
   lost,
   /// It reaches the engine when release() is called, whatever its sender does meanwhile.
@@ -88,6 +90,7 @@
   /// Executes no call for this long.
   void stand_still(std::chrono::milliseconds time);
   void release();
+  void release_answers();
   /// Staged pieces stay unless the host has lost its power.
   void restart(bool loses_staged_pieces);
   void spoil(std::uint32_t piece);
@@ -109,6 +112,8 @@
   unsigned orders_to_ignore = 0;
   unsigned accepted_orders = 0;
   std::vector<unsigned> order_statuses;
+  /// Versions of the orders that it has accepted.
+  std::vector<std::uint64_t> ordered_versions;
   bool states_layers = true;
 
 private:
@@ -150,6 +155,7 @@
   std::chrono::steady_clock::time_point m_still_until{};
   std::vector<waiting_call> m_waiting;
   std::vector<waiting_call> m_held;
+  std::vector<std::function<void()>> m_held_answers;
   deferred_http_server m_server;
 };
 
--- a/Source/UnitTests/Rollout/LoadScene.cpp
+++ b/Source/UnitTests/Rollout/LoadScene.cpp
@@ -289,6 +289,10 @@
     m_agent->send_proof(mark);
   }
   m_entry.receive(report, state);
+  if (on_report)
+  {
+    on_report(report, state);
+  }
 }
 
 void load_scene::send_requests()
--- a/Source/UnitTests/Rollout/LoadScene.h
+++ b/Source/UnitTests/Rollout/LoadScene.h
@@ -107,6 +107,8 @@
   entry_view& entry();
   /// Called when a call reaches the origin; false closes the connection.
   std::function<bool(bool is_manifest)> on_origin_call;
+  /// Called for each report of the agent.
+  std::function<void(const protocol::engine_report&, const rollout::engine_state&)> on_report;
   /// Called every few milliseconds.
   std::function<void()> on_tick;
 
