Gateway, Peers, Rollout: no request begins behind a load without a proof

A late datagram of an agent's earlier run counted as new, the first report of a run as fresh however long it had waited. A choice whose server was gone was sent. Twice a reload did not end or begin rightly: a proof that came while its pieces were staged, and a target that was not known yet.

Change: an engine is ordered to load when no request waits at it; entries stop sending before. Where reports end while an engine is about to load, an entry takes back after 0.9 s what the engine has not begun. Reports with an older mark are dropped, and the clock of a host that stayed up holds for all runs of its agent. A batch of load reports fits into one datagram again (14 of them).

--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -24,6 +24,9 @@
 // that long before. An engine that restarted under its id since a younger report has no such layer
 // yet; the rest is for the way of the request.
 constexpr milliseconds whole_report_lifetime{2500};
+// An order is sent 2 s after the begin of its check at the latest, and the engine has to be silent
+// for another second before it takes pieces that have been bad for too long.
+constexpr milliseconds unseen_load_time{900};
 // Network round trip between the engines of a pipeline.
 constexpr double pipeline_round_trip_ms = 2;
 // Time until a request has reached the engine and appears in a load report.
@@ -62,6 +65,12 @@
 // Share of its time that an engine spends on prefill while it also decodes.
 constexpr double prefill_share = 0.67;
 
+bool is_older_mark(const peers::engine_mark& mark, const peers::engine_mark& than)
+{
+  return mark.started_ms < than.started_ms ||
+         (mark.started_ms == than.started_ms && mark.orders < than.orders);
+}
+
 /// Estimated time to prefill a prompt, in milliseconds.
 double prefill_ms(const protocol::engine_speed& speed, double tokens)
 {
@@ -240,12 +249,18 @@
 
 bool backend_table::holds_layers(const backend_choice& choice, time_point now) const
 {
-  const auto alone = m_servers.find(choice.id);
-  if (choice.pipeline.empty() && alone != m_servers.end())
+  if (choice.pipeline.empty())
   {
-    const auto* service = find_service(alone->second.entry.service);
+    const auto known = m_servers.find(choice.id);
+    if (known == m_servers.end())
+    {
+      return choice.weight_version == 0;
+    }
+    const server& backend = known->second;
+    const auto* service = find_service(backend.entry.service);
     return !needs_proof(service) ||
-           known_version(alone->second, service, now) == choice.weight_version;
+           (known_version(backend, service, now) == choice.weight_version &&
+            !backend.load->loading);
   }
   return std::all_of(choice.pipeline.begin(), choice.pipeline.end(),
                      [this, &choice, now](const protocol::pipeline_stage& stage)
@@ -264,6 +279,21 @@
                      });
 }
 
+std::set<std::string> backend_table::engines_that_may_have_loaded(time_point now) const
+{
+  std::set<std::string> out;
+  for (const auto& [id, backend] : m_servers)
+  {
+    if (backend.load && backend.load->loading &&
+        now - backend.layers_confirmed >= unseen_load_time &&
+        needs_proof(find_service(backend.entry.service)))
+    {
+      out.insert(id);
+    }
+  }
+  return out;
+}
+
 std::optional<permit_query> backend_table::make_permit_query(const backend_choice& choice,
                                                              time_point now) const
 {
@@ -370,9 +400,15 @@
     {
       (void)add_leaving(id, backend.entry.started_ms, notice_source::agent, now);
     }
+    if (backend.load && is_older_mark(load.mark, backend.load->mark))
+    {
+      // A datagram of an earlier start of the engine, or of an earlier run of its agent.
+      continue;
+    }
+    const bool same_start = backend.load && backend.load->mark.started_ms == load.mark.started_ms;
     const time_point received = now - milliseconds(load.held_ms);
     const auto age = load.stamp.run == 0 ? std::optional(milliseconds(load.held_ms))
-                                         : backend.report_clock.age(load.stamp, now);
+                                         : backend.report_clock.age(load.stamp, same_start, now);
     if (!age || (backend.load && received < backend.load_received))
     {
       // Reports that different entries forward may overtake each other.
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -118,6 +118,14 @@
   }
 }
 
+void caller_session::leave_engines(const std::set<std::string>& engines)
+{
+  if (const auto exchange = m_exchange)
+  {
+    exchange->leave_engines(engines);
+  }
+}
+
 void caller_session::cut()
 {
   end("cut by the end of the process");
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -30,6 +30,8 @@
   void close();
   /// Ends the request in progress if it waits at a server that its content would crash.
   void end_if_quarantined();
+  /// See request_exchange.
+  void leave_engines(const std::set<std::string>& engines);
   /// Ends the session because the process ends.
   void cut();
 
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -16,6 +16,7 @@
 // connection limit of a server.
 constexpr std::size_t max_idle_per_server = 4;
 constexpr milliseconds stop_check_interval{50};
+constexpr milliseconds unseen_load_check_interval{100};
 // Each session uses a file descriptor; the platform allows about 2,500 for sockets.
 constexpr std::size_t max_sessions = 1500;
 // Rate and burst limits of log lines about single requests.
@@ -53,7 +54,7 @@
                 .stop_started = std::nullopt},
       m_listener(loop, [this](async_io::tcp_connection::pointer connection)
                  { accept(std::move(connection)); }),
-      m_stop_timer(loop)
+      m_stop_timer(loop), m_unseen_load_timer(loop)
 {
 }
 
@@ -68,6 +69,7 @@
 
 result<void> gateway::listen(const transport::endpoint& address)
 {
+  watch_unseen_loads();
   return m_listener.listen(address);
 }
 
@@ -212,6 +214,21 @@
   }
 }
 
+void gateway::watch_unseen_loads()
+{
+  m_unseen_load_timer.start(unseen_load_check_interval, [this] { watch_unseen_loads(); });
+  const auto engines = m_context.backends.engines_that_may_have_loaded(current_time());
+  if (engines.empty())
+  {
+    return;
+  }
+  const auto sessions = m_sessions;
+  for (const auto& session : sessions)
+  {
+    session->leave_engines(engines);
+  }
+}
+
 bool gateway::is_ready() const
 {
   return m_context.routes != nullptr && !m_context.stop_started;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -59,6 +59,9 @@
 
 private:
   void accept(async_io::tcp_connection::pointer connection);
+  /// Requests that wait at an engine may begin behind a load of which nothing is known: its layers
+  /// are used from the first token on.
+  void watch_unseen_loads();
   void check_stopped();
   void add_leaving(const peers::server_leaving& leaving);
   void add_limit(const peers::server_limit& news);
@@ -67,6 +70,7 @@
   gateway_context m_context;
   async_io::tcp_listener m_listener;
   async_io::timer m_stop_timer;
+  async_io::timer m_unseen_load_timer;
   std::set<std::shared_ptr<caller_session>> m_sessions;
   std::function<void()> m_on_stopped;
 };
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -195,6 +195,22 @@
   refuse_quarantined();
 }
 
+void request_exchange::leave_engines(const std::set<std::string>& engines)
+{
+  if (m_ended || !m_attempt || m_attempt_answered || m_head.status != 0)
+  {
+    return;
+  }
+  const bool has_it = engines.contains(m_server.id) ||
+                      std::any_of(m_server.pipeline.begin(), m_server.pipeline.end(),
+                                  [&engines](const protocol::pipeline_stage& stage)
+                                  { return engines.contains(stage.id); });
+  if (has_it)
+  {
+    m_attempt->abandon("engine may begin the request with other weights");
+  }
+}
+
 void request_exchange::note_event()
 {
   const auto now = current_time();
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -57,6 +57,8 @@
   /// Takes the request back from a server that has not begun to answer it, if its content is known
   /// to crash servers.
   void end_if_quarantined();
+  /// Takes the request back if one of these engines has it and has not begun it.
+  void leave_engines(const std::set<std::string>& engines);
   /// Ends the request without an answer. `outcome` is logged.
   void cancel(std::string_view outcome);
 
--- a/Source/Core/Peers/LoadRelay.h
+++ b/Source/Core/Peers/LoadRelay.h
@@ -14,7 +14,7 @@
 /// Longest time that a report waits for others before it is forwarded with them.
 constexpr std::chrono::milliseconds load_batch_interval{100};
 // Keeps a datagram below the usual MTU of 1,500 bytes.
-constexpr std::size_t max_loads_per_batch = 16;
+constexpr std::size_t max_loads_per_batch = 14;
 
 /// Collects the load reports that an entry forwards to its failure domain. The caller passes the
 /// current time and sends the batches. Not thread-safe.
--- a/Source/Core/Peers/ReportClock.cpp
+++ b/Source/Core/Peers/ReportClock.cpp
@@ -26,11 +26,14 @@
 
 } // namespace
 
-std::optional<milliseconds> report_clock::age(const report_stamp& stamp, time_point now)
+std::optional<milliseconds> report_clock::age(const report_stamp& stamp, bool same_boot,
+                                              time_point now)
 {
   const auto now_ms = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
   const auto offset = static_cast<std::uint32_t>(now_ms) - stamp.made_ms;
-  if (stamp.run != m_run)
+  // Runs of a process on a host that was not started again in between read the same clock.
+  const bool same_clock = stamp.run == m_run || (same_boot && m_run != 0);
+  if (!same_clock)
   {
     *this = {};
     m_run = stamp.run;
@@ -42,6 +45,7 @@
   {
     return std::nullopt;
   }
+  m_run = stamp.run;
   m_last_made_ms = stamp.made_ms;
   if (now - m_period_begun >= period)
   {
--- a/Source/Core/Peers/ReportClock.h
+++ b/Source/Core/Peers/ReportClock.h
@@ -31,9 +31,10 @@
 public:
   using time_point = std::chrono::steady_clock::time_point;
 
-  /// Age of a report that is read now, in ms; empty if a later report of the same run has been read
-  /// before.
-  std::optional<std::chrono::milliseconds> age(const report_stamp& stamp, time_point now);
+  /// Age of a report that is read now, in ms; empty if a later report has been read before.
+  /// `same_boot`: the host has not started since the report before.
+  std::optional<std::chrono::milliseconds> age(const report_stamp& stamp, bool same_boot,
+                                               time_point now);
 
 private:
   std::uint16_t m_run = 0;
--- a/Source/Core/Rollout/LoadRule.cpp
+++ b/Source/Core/Rollout/LoadRule.cpp
@@ -54,15 +54,19 @@
   if (!inputs.holds_all_layers)
   {
     return report.weight_version == inputs.ready_version ? load_action::load_rest
-                                                         : load_action::load;
+           : report.waiting == 0                         ? load_action::load
+           : inputs.draining_for                         ? load_action::wait
+                                                         : load_action::drain;
   }
   if (!inputs.draining_for)
   {
     return inputs.version_age >= planned_load_delay(inputs.plan) ? load_action::drain
                                                                  : load_action::wait;
   }
-  const bool idle = report.running + report.waiting == 0;
-  return idle || *inputs.draining_for >= max_drain_time ? load_action::load : load_action::wait;
+  // A request that waits begins behind the load, with layers of which nothing is proven yet.
+  const bool may_cut = *inputs.draining_for >= max_drain_time;
+  return report.waiting == 0 && (report.running == 0 || may_cut) ? load_action::load
+                                                                 : load_action::wait;
 }
 
 } // namespace pollenyoke::rollout
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -207,6 +207,11 @@
   if (m_proven.covers(mark))
   {
     m_unproven_mark.reset();
+    if (m_load.version == 0)
+    {
+      m_reload.reset();
+      m_rejected = false;
+    }
   }
   else if (m_unproven_mark != mark || !has_settled())
   {
@@ -218,7 +223,7 @@
 
 bool rollout_agent::needs_reload() const
 {
-  return m_unproven_mark && engine_has_weights() &&
+  return m_unproven_mark && !is_proven() && engine_has_weights() &&
          (m_rejected || m_reload || since(m_unproven_since) >= proof_wait);
 }
 
@@ -231,8 +236,7 @@
   }
   log_info(log_category::weights, "layers of the engine were proven before this process started",
            {{"version", m_report->weight_version}, {"orders", mark.orders}});
-  m_unproven_mark.reset();
-  m_reload.reset();
+  watch_proof();
   publish_report(is_loading());
 }
 
@@ -656,7 +660,7 @@
   {
     return;
   }
-  if (m_unproven_mark && engine_has_weights())
+  if (!is_proven() && engine_has_weights())
   {
     replace_unproven_layers();
     return;
@@ -698,8 +702,11 @@
     return;
   }
   const piece_set* ready = ready_pieces();
-  if (ready != nullptr && ready->version() != m_report->weight_version &&
-      ready->version() >= std::min(target_version(), m_report->weight_version + 1))
+  // The only layer of version 1 is dropped by an order for version 2, which may not exist yet.
+  const bool may_be_dropped = m_shape.layers == 1 && target_version() == 1;
+  if (ready != nullptr &&
+      (ready->version() > m_report->weight_version ||
+       (may_be_dropped && ready->version() == 1 && m_report->weight_version == 2)))
   {
     m_reload.reset();
     start_load(make_load_step(ready->version(), {0, m_shape.layers}));
@@ -876,6 +883,11 @@
     abort_load("engine restarted or accepted another order");
     return;
   }
+  if (report->waiting > 0 && !m_loads_while_serving)
+  {
+    abort_load("requests wait at the engine");
+    return;
+  }
   if (m_check->allows_order(report->started_ms, boot_clock::now()))
   {
     send_load_order(m_confirmations < max_confirmations ? std::move(session) : nullptr);
--- a/Source/UnitTests/Peers/ReportClockTest.cpp
+++ b/Source/UnitTests/Peers/ReportClockTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(reports_read_after_a_freeze_are_old);
   CPPUNIT_TEST(overtaken_report_is_recognized);
   CPPUNIT_TEST(new_run_of_the_sender_has_its_own_clock);
+  CPPUNIT_TEST(runs_on_a_host_that_stayed_up_share_a_clock);
   CPPUNIT_TEST(stamps_may_wrap_around);
   CPPUNIT_TEST(drift_of_the_clocks_does_not_add_up);
   CPPUNIT_TEST_SUITE_END();
@@ -26,9 +27,9 @@
   report_clock m_clock;
 
   std::optional<milliseconds> age(std::uint32_t made_ms, milliseconds read_at,
-                                  std::uint16_t run = 1)
+                                  std::uint16_t run = 1, bool same_boot = false)
   {
-    return m_clock.age({.run = run, .made_ms = made_ms}, m_start + read_at);
+    return m_clock.age({.run = run, .made_ms = made_ms}, same_boot, m_start + read_at);
   }
 
 public:
@@ -65,6 +66,16 @@
     CPPUNIT_ASSERT(age(600, milliseconds(3150), 2) == milliseconds(50));
   }
 
+  /// Guards against the first report of a run that counts as fresh although it has waited, and
+  /// against a late one of the run before.
+  void runs_on_a_host_that_stayed_up_share_a_clock()
+  {
+    CPPUNIT_ASSERT(age(1000, milliseconds(0)));
+    CPPUNIT_ASSERT(age(2000, milliseconds(4000), 2, true) == milliseconds(3000));
+    CPPUNIT_ASSERT(!age(1500, milliseconds(4010), 1, true));
+    CPPUNIT_ASSERT(age(5010, milliseconds(4020), 2, true) == milliseconds(10));
+  }
+
   void stamps_may_wrap_around()
   {
     const std::uint32_t last = ~std::uint32_t{0};
--- a/Source/UnitTests/Rollout/LoadStepsTest.cpp
+++ b/Source/UnitTests/Rollout/LoadStepsTest.cpp
@@ -43,10 +43,11 @@
 };
 
 constexpr std::array<const char*, 15> moment_names = {
-    "manifest read",  "piece fetched",  "first piece staged", "middle piece staged",
-    "last piece staged", "first piece read back", "middle piece read back", "last piece read back",
-    "report asked",   "order received", "order accepted",     "order answered",
-    "layers loading", "layers reported", "in service"};
+    "manifest read",          "piece fetched",        "first piece staged",
+    "middle piece staged",    "last piece staged",    "first piece read back",
+    "middle piece read back", "last piece read back", "report asked",
+    "order received",         "order accepted",       "order answered",
+    "layers loading",         "layers reported",      "in service"};
 
 enum class event
 {
@@ -123,10 +124,8 @@
   std::string play()
   {
     m_scene.restart_agent();
-    const bool served = m_scene.run_until(
-        [this] { return !m_scene.problem().empty() ||
-                            is_over(); },
-        limit);
+    const bool served =
+        m_scene.run_until([this] { return !m_scene.problem().empty() || is_over(); }, limit);
     if (!m_scene.problem().empty())
     {
       return m_scene.problem();
@@ -344,8 +343,7 @@
     outcomes.reserve(situations.size());
     for (const situation& at : situations)
     {
-      outcomes.push_back(
-          std::async(std::launch::async, [at] { return struck_load(at).play(); }));
+      outcomes.push_back(std::async(std::launch::async, [at] { return struck_load(at).play(); }));
     }
     std::string problems;
     for (std::size_t i = 0; i < situations.size(); ++i)
--- a/Source/UnitTests/Rollout/RolloutTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutTest.cpp
@@ -256,6 +256,8 @@
     inputs.report.running = 1;
     inputs.draining_for = milliseconds(2000);
     CPPUNIT_ASSERT(decide_load(inputs) == load_action::load);
+    inputs.report.waiting = 1;
+    CPPUNIT_ASSERT(decide_load(inputs) == load_action::wait);
   }
 
   void unanswered_order_is_not_repeated_at_once()
