Rollout: take pieces from the engine's staging area before the network

A restarted agent, or one whose engine crashed while it held the version that the platform had loaded, holds no pieces and fetched all of them over the network, although staged pieces survive both.

The fetcher lists the pieces that are staged at the host's engine once it has the manifest, reads them one by one and keeps those that match their digest. It goes on with the network after three pieces in a row that don't match, after 200 ms without an answer and after 600 ms in all.

--- a/Source/Core/Rollout/PieceFetcher.cpp
+++ b/Source/Core/Rollout/PieceFetcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 #include "Common/BootClock.h"
 #include "Common/Log.h"
@@ -39,6 +40,12 @@
 constexpr milliseconds manifest_retry_delay{150};
 // Repeated digest mismatches suggest that the manifest itself is corrupt.
 constexpr unsigned mismatches_before_manifest_retry = 3;
+// Limits for the engine on this host, which answers within a few ms.
+constexpr milliseconds staged_read_timeout{200};
+constexpr milliseconds staged_reads_limit{600};
+// After this many staged pieces in a row that do not match, the others are taken for those of
+// another version.
+constexpr unsigned max_unusable_staged = 3;
 
 } // namespace
 
@@ -75,7 +82,6 @@
 void piece_fetcher::start()
 {
   m_relays = live_relays();
-  notify_relays();
   request_manifest();
 }
 
@@ -205,18 +211,127 @@
     return;
   }
   m_pieces = std::make_unique<piece_set>(std::move(pieces));
-  m_schedule =
-      std::make_unique<piece_schedule>(m_pieces->size(), std::random_device{}(), current_time());
-  m_schedule->set_relays(relay_plan(m_relays, m_environment.region, {}));
-  m_schedule->set_first_pieces(m_first_part);
   log_info(log_category::weights, "starting weight fetch",
            {{"version", m_version},
             {"pieces", m_pieces->size()},
             {"hosts", m_environment.hosts().size()},
             {"entries", m_relays.size()}});
+  list_staged_pieces();
+}
+
+void piece_fetcher::list_staged_pieces()
+{
+  if (!m_environment.engine)
+  {
+    begin_network_reads();
+    return;
+  }
+  m_staged_reads_end = current_time() + staged_reads_limit;
+  auto call = platform::staged_list_call(*m_environment.engine, m_model);
+  call.timeout = staged_read_timeout;
+  m_environment.caller.call(
+      std::move(call), [self = shared_from_this()](const result<async_io::http_response>& answer)
+      { self->on_staged_list(answer); });
+}
+
+void piece_fetcher::on_staged_list(const result<async_io::http_response>& answer)
+{
+  if (m_stopped)
+  {
+    return;
+  }
+  if (answer && answer->head.status == 200)
+  {
+    if (const auto list = platform::decode_staged(answer->body))
+    {
+      const std::set<std::uint32_t> staged(list->begin(), list->end());
+      for (const std::uint32_t piece : reading_order(m_pieces->size(), m_first_part))
+      {
+        if (staged.contains(piece))
+        {
+          m_staged.push_back(piece);
+        }
+      }
+    }
+  }
+  read_staged_piece();
+}
+
+void piece_fetcher::read_staged_piece()
+{
+  const auto left = std::chrono::duration_cast<milliseconds>(m_staged_reads_end - current_time());
+  if (m_staged.empty() || m_unusable_staged >= max_unusable_staged || left <= milliseconds(0))
+  {
+    begin_network_reads();
+    return;
+  }
+  const std::uint32_t piece = m_staged.front();
+  m_staged.pop_front();
+  auto call = platform::stage_get_call(*m_environment.engine, m_model, piece);
+  call.timeout = std::min(staged_read_timeout, left);
+  m_environment.caller.call(std::move(call), [self = shared_from_this(),
+                                              piece](const result<async_io::http_response>& answer)
+                            { self->on_staged_piece(piece, answer); });
+}
+
+void piece_fetcher::on_staged_piece(std::uint32_t piece,
+                                    const result<async_io::http_response>& answer)
+{
+  if (m_stopped)
+  {
+    return;
+  }
+  if (!answer && answer.error().code == error_code::timeout)
+  {
+    begin_network_reads();
+    return;
+  }
+  if (answer && answer->head.status == 200 && m_pieces->put(piece, answer->body))
+  {
+    m_unusable_staged = 0;
+    ++m_counts.from_engine;
+    notify_handlers(piece);
+  }
+  else
+  {
+    ++m_unusable_staged;
+  }
+  // A handler may have stopped this fetch.
+  if (!m_stopped)
+  {
+    read_staged_piece();
+  }
+}
+
+void piece_fetcher::begin_network_reads()
+{
+  m_staged.clear();
+  m_schedule =
+      std::make_unique<piece_schedule>(m_pieces->size(), std::random_device{}(), current_time());
+  m_schedule->set_relays(relay_plan(m_relays, m_environment.region, {}));
+  m_schedule->set_first_pieces(m_first_part);
+  for (std::uint32_t piece = 0; piece < m_pieces->size(); ++piece)
+  {
+    if (m_pieces->get(piece) != nullptr)
+    {
+      m_schedule->mark_held(piece);
+    }
+  }
   tick();
 }
 
+void piece_fetcher::notify_handlers(std::uint32_t piece)
+{
+  if (m_pieces->is_complete())
+  {
+    m_handlers.on_complete();
+  }
+  else if (m_first_part.contains(piece) && has_first_part())
+  {
+    m_handlers.on_first_part();
+  }
+}
+
 void piece_fetcher::tick()
 {
   if (m_stopped || m_pieces->is_complete())
@@ -365,14 +480,7 @@
               {{"version", m_version},
                {"piece", read.piece},
                {"source", read.from_origin() ? "origin" : read.peer}});
-    if (m_pieces->is_complete())
-    {
-      m_handlers.on_complete();
-    }
-    else if (m_first_part.contains(read.piece) && has_first_part())
-    {
-      m_handlers.on_first_part();
-    }
+    notify_handlers(read.piece);
   }
   begin_reads();
 }
--- a/Source/Core/Rollout/PieceFetcher.h
+++ b/Source/Core/Rollout/PieceFetcher.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,8 @@
   /// True once every host listed in the store has been heard from. An empty function means false.
   std::function<bool()> has_heard_all;
   std::function<transport::endpoint()> origin;
+  /// Engine of this host; its staged pieces are used before others are fetched.
+  std::optional<transport::endpoint> engine;
   /// True if engine requests share this host's link with the pieces. An empty function means true.
   std::function<bool()> engine_serves;
   /// Sends an announcement to another host. Delivery is not guaranteed.
@@ -57,12 +61,14 @@
   unsigned from_origin = 0;
   unsigned from_entries = 0;
   unsigned from_peers = 0;
+  unsigned from_engine = 0;
   /// Reads that timed out or were refused. Corrupt pieces are not counted.
   unsigned failed_origin = 0;
   unsigned failed_peers = 0;
 };
 
-/// Fetches the manifest of one version of a model, then its pieces.
+/// Fetches the manifest of one version of a model, then its pieces: first those that are staged at
+/// the engine, then the others over the network.
 class piece_fetcher : public std::enable_shared_from_this<piece_fetcher>
 {
 public:
@@ -95,6 +101,14 @@
   void request_manifest();
   void on_manifest_response(const result<async_io::http_response>& answer);
   void apply_manifest(piece_set pieces, const std::string& text);
+  void list_staged_pieces();
+  void on_staged_list(const result<async_io::http_response>& answer);
+  /// Reads the next staged piece, or begins the network reads if there is none or the time is up.
+  void read_staged_piece();
+  void on_staged_piece(std::uint32_t piece, const result<async_io::http_response>& answer);
+  void begin_network_reads();
+  /// Calls the handlers that are due now that this piece is held.
+  void notify_handlers(std::uint32_t piece);
   void tick();
   void begin_reads();
   void fetch(const piece_read& read);
@@ -112,7 +126,13 @@
   piece_range m_first_part;
   handlers m_handlers;
   std::unique_ptr<piece_set> m_pieces;
+  /// Null until the network reads begin.
   std::unique_ptr<piece_schedule> m_schedule;
+  /// Staged pieces that have not been read, in the order in which they will be.
+  std::deque<std::uint32_t> m_staged;
+  async_io::time_point m_staged_reads_end{};
+  /// Number of staged pieces in a row that were of no use.
+  unsigned m_unusable_staged = 0;
   async_io::timer m_tick_timer;
   async_io::timer m_manifest_timer;
   std::string m_manifest;
--- a/Source/Core/Rollout/PieceSchedule.cpp
+++ b/Source/Core/Rollout/PieceSchedule.cpp
@@ -403,6 +403,11 @@
   }
 }
 
+void piece_schedule::mark_held(std::uint32_t piece)
+{
+  m_pieces[piece].held = true;
+}
+
 void piece_schedule::drop(std::uint32_t piece)
 {
   m_pieces[piece].held = false;
--- a/Source/Core/Rollout/PieceSchedule.h
+++ b/Source/Core/Rollout/PieceSchedule.h
@@ -71,6 +71,8 @@
   /// Returns the reads to start now. Each has to be reported to on_read_finished().
   std::vector<piece_read> begin_reads(time_point now);
   void on_read_finished(const piece_read& read, read_outcome outcome, time_point now);
+  /// Marks a piece as held that was not read by this schedule.
+  void mark_held(std::uint32_t piece);
   /// Marks a piece as no longer held, after a newer manifest contradicted it.
   void drop(std::uint32_t piece);
   /// True while entries relay the pieces, so that other hosts need no frequent announcements.
--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -64,6 +64,7 @@
       m_send_timer(m_environment.loop),
       m_uplink(m_environment.uplink_bytes_per_s, uplink_burst_bytes, current_time())
 {
+  m_environment.engine = m_engine;
   m_environment.engine_serves = [this]
   {
     return engine_has_weights();
@@ -465,6 +466,7 @@
             {"from_origin", counts.from_origin},
             {"from_entries", counts.from_entries},
             {"from_peers", counts.from_peers},
+            {"from_engine", counts.from_engine},
             {"failed_origin", counts.failed_origin},
             {"failed_peers", counts.failed_peers}});
   start_load_if_due();
--- a/Source/UnitTests/Rollout/PieceScheduleTest.cpp
+++ b/Source/UnitTests/Rollout/PieceScheduleTest.cpp
@@ -464,6 +464,7 @@
   CPPUNIT_TEST(late_host_is_served_by_the_others);
   CPPUNIT_TEST(single_host_reads_the_origin);
   CPPUNIT_TEST(corrupt_source_is_avoided);
+  CPPUNIT_TEST(pieces_marked_as_held_are_not_read);
   CPPUNIT_TEST(entries_relay_at_link_rate);
   CPPUNIT_TEST(unresponsive_entries_are_bypassed);
   CPPUNIT_TEST(hosts_continue_without_entries);
@@ -575,6 +576,31 @@
     CPPUNIT_ASSERT_EQUAL(reads[0].piece, again[0].piece);
   }
 
+  void pieces_marked_as_held_are_not_read()
+  {
+    const auto started = fleet_simulation::start();
+    piece_schedule schedule(3, 1, started);
+    const std::vector<rollout_host> hosts = {{"a", "east"}, {"b", "east"}, {"c", "east"}};
+    schedule.set_plan(piece_plan(hosts, "a"));
+    schedule.mark_held(0);
+    schedule.mark_held(2);
+    CPPUNIT_ASSERT(schedule.states() ==
+                   std::vector({piece_state::held, piece_state::absent, piece_state::held}));
+    const std::vector<piece_state> all(3, piece_state::held);
+    schedule.handle_announcement("b", all, started);
+    schedule.handle_announcement("c", all, started);
+    const auto reads = schedule.begin_reads(started);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reads.size());
+    CPPUNIT_ASSERT_EQUAL(1U, reads[0].piece);
+    schedule.on_read_finished(reads[0], read_outcome::received, started);
+    CPPUNIT_ASSERT(schedule.begin_reads(started + std::chrono::seconds(1)).empty());
+    schedule.drop(2);
+    schedule.handle_announcement("b", all, started + std::chrono::seconds(1));
+    const auto again = schedule.begin_reads(started + std::chrono::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.size());
+    CPPUNIT_ASSERT_EQUAL(2U, again[0].piece);
+  }
+
   /// Guards against slow recovery after a power loss: with three concurrent reads of 0.17 s each, a
   /// host received 17 pieces per second over a link that carries 24.
   void hosts_with_idle_engines_start_more_reads()
--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -209,6 +209,10 @@
       }
       return make_response(202, "", "", true);
     }
+    if (head.method == "GET" && query_parameter(head.target, "num").empty())
+    {
+      return list_staged();
+    }
     std::uint64_t number = 0;
     CPPUNIT_ASSERT(parse_number(query_parameter(head.target, "num"), number));
     const auto piece = static_cast<std::uint32_t>(number);
@@ -232,6 +236,16 @@
     return answer;
   }
 
+  std::string list_staged() const
+  {
+    std::string held;
+    for (const auto& [piece, bytes] : m_staged)
+    {
+      held += (held.empty() ? "" : ",") + std::to_string(piece);
+    }
+    return ok("{\"held\":[" + held + "]}");
+  }
+
   static std::optional<std::uint64_t> number_in(const std::string& order, const std::string& name)
   {
     const auto at = order.find("\"" + name + "\":");
