Emulator: a plan of faults that disturbs loads at each of their steps

The emulated engine names the steps of its loads, can accept an order late, and lose an answer. A server that stands still carries out calls that had reached it also if their caller has closed since. Layers are judged at each event.

--- a/Source/Emulator/BackendServer.cpp
+++ b/Source/Emulator/BackendServer.cpp
@@ -301,7 +301,8 @@
 
 void backend_server::handle(http_request request, const std::shared_ptr<http_reply>& reply)
 {
-  if (answer_call(request, reply))
+  // Calls are carried out also for callers that have closed meanwhile, requests are not.
+  if (answer_call(request, reply) || reply->caller_is_gone())
   {
     return;
   }
--- a/Source/Emulator/EngineWork.cpp
+++ b/Source/Emulator/EngineWork.cpp
@@ -43,6 +43,22 @@
   return value;
 }
 
+void answer_as(const step_effect& effect, const std::shared_ptr<http_reply>& reply, unsigned status,
+               std::string_view fields = {}, std::string_view body = {})
+{
+  switch (effect.answer)
+  {
+  case answer_fate::sent:
+    reply->send(status, fields, body);
+    return;
+  case answer_fate::lost:
+    return;
+  case answer_fate::reset:
+    reply->reset();
+    return;
+  }
+}
+
 } // namespace
 
 engine_work::engine_work(const server_environment& environment, std::string model,
@@ -67,6 +83,11 @@
   return m_version != 0 && m_layers.contains(layers);
 }
 
+step_effect engine_work::pass_step(load_step step, double progress)
+{
+  return m_load_observer ? m_load_observer(step, progress) : step_effect{};
+}
+
 unsigned engine_work::refusal(const server_job& job,
                               const std::vector<protocol::pipeline_stage>& pipeline,
                               transport::endpoint& at_fault) const
@@ -96,6 +117,11 @@
 
 void engine_work::accept(const std::shared_ptr<server_job>& job)
 {
+  if (!m_used_load)
+  {
+    m_used_load = true;
+    (void)pass_step(load_step::request_after_load);
+  }
   std::vector<protocol::pipeline_stage> pipeline;
   if (const auto* path = job->request.head.find(names::pipeline))
   {
@@ -249,19 +275,37 @@
   {
     begin_run(m_record, job);
     came.weight_version = m_version;
-    came.weight_problem = weight_problem();
-    for (const protocol::pipeline_stage& stage : writer.pipeline)
-    {
-      const std::string problem = m_engines.at(stage.address)->weight_problem();
-      came.weight_problem = problem.empty() ? came.weight_problem : problem;
-    }
     std::string fields = "Content-Type: text/event-stream\r\n";
     async_io::append_field(fields, versions_field, std::to_string(m_version));
     job.reply->begin_stream(answer_fields(job, fields));
   }
+  judge_layers(writer);
   job.reply->write_chunk(make_event(job.id, job.run, writer.next_event++));
 }
 
+/// Of each event: layers may be added while a request runs.
+void engine_work::judge_layers(const sequence& writer)
+{
+  arrival& came = m_record.arrival_at(writer.job->arrival);
+  const auto judge = [&came](const engine_work& engine, const protocol::layer_range& layers)
+  {
+    const layer_problem* problem = engine.find_layer_problem(layers);
+    if (problem != nullptr && came.weight_problem.empty())
+    {
+      came.weight_problem = problem->text;
+      came.disturbed_load = problem->disturbance;
+    }
+  };
+  if (writer.pipeline.empty())
+  {
+    judge(*this, {0, m_traits.layers});
+  }
+  for (const protocol::pipeline_stage& stage : writer.pipeline)
+  {
+    judge(*m_engines.at(stage.address), stage.layers);
+  }
+}
+
 engine_state engine_work::current_state() const
 {
   const auto total = m_traits.memory_tokens * m_traits.layers;
@@ -296,12 +340,12 @@
   const auto path = async_io::path_of(request.head.target);
   if (path == "/v1/report")
   {
-    reply->send(200, "Content-Type: application/json\r\n", encode_engine_state(current_state()));
+    answer_report(reply);
     return true;
   }
   if (path == "/v1/order")
   {
-    answer_order(request, reply);
+    receive_order(request, reply);
     return true;
   }
   if (path == "/v1/stage-put/" + m_model || path == "/v1/stage-get/" + m_model)
@@ -312,6 +356,37 @@
   return false;
 }
 
+void engine_work::answer_report(const std::shared_ptr<http_reply>& reply)
+{
+  step_effect effect;
+  if (!m_reported_load)
+  {
+    m_reported_load = true;
+    effect = pass_step(load_step::report_after_load);
+  }
+  else if (!m_put_pieces.empty() && m_read_back == m_put_pieces)
+  {
+    effect = pass_step(load_step::report_after_check);
+  }
+  answer_as(effect, reply, 200, "Content-Type: application/json\r\n",
+            encode_engine_state(current_state()));
+}
+
+void engine_work::put_piece(std::uint32_t number, const std::string& content,
+                            const std::shared_ptr<http_reply>& reply)
+{
+  m_staged[number] = content;
+  m_spoilt_at.erase(number);
+  if (!m_read_back.empty())
+  {
+    m_put_pieces.clear();
+    m_read_back.clear();
+  }
+  m_put_pieces.insert(number);
+  const double share = static_cast<double>(m_put_pieces.size()) / m_traits.pieces;
+  answer_as(pass_step(load_step::piece_staged, share), reply, 200);
+}
+
 void engine_work::answer_stage(const http_request& request,
                                const std::shared_ptr<http_reply>& reply)
 {
@@ -320,9 +395,7 @@
       async_io::parse_number(async_io::query_parameter(request.head.target, "num"), number);
   if (request.head.method == "PUT")
   {
-    m_staged[static_cast<std::uint32_t>(number)] = request.body;
-    m_spoilt_at.erase(static_cast<std::uint32_t>(number));
-    reply->send(200, {}, {});
+    put_piece(static_cast<std::uint32_t>(number), request.body, reply);
     return;
   }
   if (!has_number)
@@ -341,7 +414,14 @@
     reply->send(404, {}, {});
     return;
   }
-  reply->send(200, {}, piece->second);
+  step_effect effect;
+  if (m_put_pieces.contains(piece->first))
+  {
+    m_read_back.insert(piece->first);
+    effect = pass_step(load_step::piece_read_back, static_cast<double>(m_read_back.size()) /
+                                                       static_cast<double>(m_put_pieces.size()));
+  }
+  answer_as(effect, reply, 200, {}, piece->second);
   if (m_staged_reads_left > 0 && --m_staged_reads_left == 0)
   {
     const auto action = std::move(m_after_staged_reads);
@@ -349,8 +429,8 @@
   }
 }
 
-void engine_work::answer_order(const http_request& request,
-                               const std::shared_ptr<http_reply>& reply)
+void engine_work::receive_order(const http_request& request,
+                                const std::shared_ptr<http_reply>& reply)
 {
   const auto order = decode_load_order(request.body);
   if (!order || order->operation != "start" || order->model != m_model)
@@ -358,25 +438,70 @@
     reply->send(400, {}, {});
     return;
   }
+  const step_effect effect = pass_step(load_step::order_received);
+  if (effect.answer == answer_fate::reset)
+  {
+    reply->reset();
+  }
+  else if (effect.delay.count() > 0)
+  {
+    m_later.after(effect.delay, [this, order = *order, reply] { answer_order(order, reply); });
+  }
+  else
+  {
+    answer_order(*order, reply);
+  }
+}
+
+void engine_work::answer_order(const load_order& order, const std::shared_ptr<http_reply>& reply)
+{
   const protocol::layer_range layers =
-      order->layers.value_or(protocol::layer_range{0, m_traits.layers});
-  if (m_version == order->version && m_layers == layers)
+      order.layers.value_or(protocol::layer_range{0, m_traits.layers});
+  if (m_version == order.version && m_layers == layers)
   {
     reply->send(200, {}, {});
     return;
   }
-  if (m_load || (order->expected_orders && *order->expected_orders != m_orders))
+  if (m_load || (order.expected_orders && *order.expected_orders != m_orders))
   {
     reply->send(409, {}, {});
     return;
   }
+  accept_order(order, layers, reply);
+}
+
+void engine_work::accept_order(const load_order& order, const protocol::layer_range& layers,
+                               const std::shared_ptr<http_reply>& reply)
+{
   ++m_orders;
-  m_load = take_staged(*order, layers);
-  reply->send(202, {}, {});
+  m_load = take_staged(order, layers);
+  m_put_pieces.clear();
+  m_read_back.clear();
+  if (!m_load->problems.empty())
+  {
+    log_info(log_category::process, "engine takes bad pieces",
+             {{"version", order.version},
+              {"problem", m_load->problems.begin()->second.text},
+              {"disturbance", m_disturbance}});
+  }
+  const step_effect effect = pass_step(load_step::order_accepted);
+  if (!m_load)
+  {
+    // The engine has just crashed.
+    return;
+  }
+  if (effect.delay.count() > 0)
+  {
+    m_later.after(effect.delay, [effect, reply] { answer_as(effect, reply, 202); });
+  }
+  else
+  {
+    answer_as(effect, reply, 202);
+  }
   // More layers of the same version load beside the work.
-  if (m_version == order->version || order->cuts_running_work)
+  if (m_version == order.version || order.cuts_running_work)
   {
-    if (order->cuts_running_work && m_version != order->version)
+    if (order.cuts_running_work && m_version != order.version)
     {
       const auto cut = std::move(m_running);
       m_running.clear();
@@ -405,7 +530,7 @@
     ++out.taken_layers;
     if (auto problem = find_staging_problem(order.version, layer); !problem.empty())
     {
-      out.problems[layer] = std::move(problem);
+      out.problems[layer] = {std::move(problem), m_disturbance};
     }
   }
   return out;
@@ -440,9 +565,11 @@
   return {};
 }
 
-std::string engine_work::weight_problem() const
+const engine_work::layer_problem*
+engine_work::find_layer_problem(const protocol::layer_range& layers) const
 {
-  return m_layer_problems.empty() ? std::string() : m_layer_problems.begin()->second;
+  const auto first = m_layer_problems.lower_bound(layers.from);
+  return first != m_layer_problems.end() && first->first < layers.to ? &first->second : nullptr;
 }
 
 void engine_work::begin_load()
@@ -459,6 +586,7 @@
     m_layers = {};
   }
   m_later.after(duration_cast<nanoseconds>(m_traits.load_time * share), [this] { finish_load(); });
+  (void)pass_step(load_step::load_begun);
 }
 
 void engine_work::finish_load()
@@ -477,6 +605,8 @@
   m_version = done.order.version;
   m_load.reset();
   m_loading = false;
+  m_reported_load = false;
+  m_used_load = false;
   start_pass();
 }
 
@@ -496,6 +626,10 @@
   m_layers = {};
   m_layer_problems.clear();
   m_orders = 0;
+  m_put_pieces.clear();
+  m_read_back.clear();
+  m_reported_load = true;
+  m_used_load = true;
   // The next instance must not have the start of this one.
   m_started_ms = std::max(unix_ms(), m_started_ms + 1);
 }
@@ -512,14 +646,43 @@
   for (auto& [number, content] : m_staged)
   {
     const bool drawn = std::uniform_real_distribution<double>(0, 1)(draw) < share;
-    if (drawn && !content.empty() && !m_spoilt_at.contains(number))
+    if (drawn)
     {
-      content.front() = static_cast<char>(content.front() ^ 1);
-      m_spoilt_at[number] = steady_clock::now();
+      spoil(number);
     }
   }
 }
 
+void engine_work::spoil(std::uint32_t number)
+{
+  std::string& content = m_staged.at(number);
+  if (!content.empty() && !m_spoilt_at.contains(number))
+  {
+    content.front() = static_cast<char>(content.front() ^ 1);
+    m_spoilt_at[number] = steady_clock::now();
+  }
+}
+
+void engine_work::spoil_read_back(double share, std::uint64_t random)
+{
+  std::vector<std::uint32_t> pieces(m_read_back.begin(), m_read_back.end());
+  std::mt19937_64 draw(random);
+  std::shuffle(pieces.begin(), pieces.end(), draw);
+  const auto count = static_cast<std::size_t>(share * static_cast<double>(pieces.size()));
+  pieces.resize(std::min(pieces.size(), std::max<std::size_t>(count, 1)));
+  std::for_each(pieces.begin(), pieces.end(), [this](std::uint32_t number) { spoil(number); });
+}
+
+void engine_work::observe_loads(load_observer observer)
+{
+  m_load_observer = std::move(observer);
+}
+
+void engine_work::set_disturbance(std::string name)
+{
+  m_disturbance = std::move(name);
+}
+
 void engine_work::after_staged_reads(unsigned count, std::function<void()> action)
 {
   m_staged_reads_left = count;
--- a/Source/Emulator/History.h
+++ b/Source/Emulator/History.h
@@ -83,6 +83,8 @@
   /// Engines: version of the weights, and whether each layer was whole and of that version.
   std::uint64_t weight_version = 0;
   std::string weight_problem;
+  /// What had disturbed the load of the layers with that problem.
+  std::string disturbed_load;
 };
 
 /// A configuration of the operator.
--- a/Source/Emulator/HttpServer.cpp
+++ b/Source/Emulator/HttpServer.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <cstdio>
 #include <set>
+#include <utility>
+#include <vector>
 
 #include "AsyncIo/HttpParser.h"
 
@@ -43,6 +45,8 @@
   bool holds = false;
   std::unique_ptr<async_io::tcp_listener> listener;
   std::set<std::shared_ptr<session>> sessions;
+  /// What arrived while the server holds, in the order in which it arrived.
+  std::vector<std::pair<std::shared_ptr<session>, std::string>> held;
 };
 
 class http_server::session : public http_reply, public std::enable_shared_from_this<session>
@@ -73,22 +77,32 @@
     {
       return;
     }
-    const auto self = shared_from_this();
     if (!m_held_output.empty())
     {
       write(std::move(m_held_output));
       m_held_output.clear();
     }
-    const std::string input = std::move(m_held_input);
-    m_held_input.clear();
-    if (!input.empty())
+  }
+
+  void receive(std::string_view data)
+  {
+    const auto owner = m_owner.lock();
+    if (m_silent || !owner)
+    {
+      return;
+    }
+    if (m_holding)
     {
-      receive(input);
+      owner->held.emplace_back(shared_from_this(), data);
+      return;
     }
+    m_parser.feed(data);
+    serve();
   }
 
   void end()
   {
+    m_gone = true;
     if (m_connection->is_open())
     {
       m_connection->close();
@@ -161,6 +175,11 @@
     m_on_gone = std::move(handler);
   }
 
+  bool caller_is_gone() const override
+  {
+    return m_gone;
+  }
+
 private:
   void write(std::string bytes)
   {
@@ -175,21 +194,6 @@
     }
   }
 
-  void receive(std::string_view data)
-  {
-    if (m_silent)
-    {
-      return;
-    }
-    if (m_holding)
-    {
-      m_held_input += data;
-      return;
-    }
-    m_parser.feed(data);
-    serve();
-  }
-
   void serve()
   {
     if (m_answering)
@@ -233,10 +237,10 @@
   async_io::http_parser m_parser;
   std::function<void()> m_on_gone;
   bool m_answering = false;
+  bool m_gone = false;
   bool m_silent = false;
   bool m_holding = false;
   std::string m_held_output;
-  std::string m_held_input;
 };
 
 http_server::http_server(async_io::event_loop& loop, handler on_request)
@@ -282,6 +286,10 @@
 void http_server::set_fault(connection_fault fault)
 {
   m_state->fault = fault;
+  if (fault != connection_fault::none)
+  {
+    m_state->held.clear();
+  }
   if (fault == connection_fault::refused)
   {
     reset_connections();
@@ -303,6 +311,16 @@
   {
     open->set_holding(holds);
   }
+  if (holds)
+  {
+    return;
+  }
+  // A connection that was closed meanwhile keeps what had arrived on it.
+  for (const auto& [receiver, data] : std::exchange(m_state->held, {}))
+  {
+    receiver->set_holding(false);
+    receiver->receive(data);
+  }
 }
 
 void http_server::reset_connections()
--- a/Source/Emulator/HttpServer.h
+++ b/Source/Emulator/HttpServer.h
@@ -40,6 +40,7 @@
   virtual void reset() = 0;
   /// `handler` is called once when the caller closes before the answer is complete.
   virtual void on_caller_gone(std::function<void()> handler) = 0;
+  virtual bool caller_is_gone() const = 0;
 
 protected:
   http_reply() = default;
@@ -71,7 +72,8 @@
   result<void> listen(const transport::endpoint& address);
   std::uint16_t port() const;
   void set_fault(connection_fault fault);
-  /// While it holds, nothing is read and nothing is sent; afterwards all goes on as before.
+  /// While it holds, nothing is read and nothing is sent; afterwards all goes on as before, also
+  /// what arrived from callers that have closed since.
   void set_holding(bool holds);
   void reset_connections();
 
--- a/Source/Emulator/PlatformRun.cpp
+++ b/Source/Emulator/PlatformRun.cpp
@@ -88,15 +88,21 @@
 result<void> platform_run::start_servers()
 {
   const server_environment environment{m_loop, m_record, *m_store, m_options.seed};
+  const std::size_t first_late = m_deployment.engines - m_options.late_hosts;
   for (const machine& host : m_layout.machines)
   {
     if (host.role == protocol::process_role::agent)
     {
       const server_identity identity{std::string(model_service), host.domain, engine_address(host),
                                      m_deployment.engine.slots};
+      const bool is_late = m_engines.size() >= first_late;
       m_engines.push_back(std::make_unique<server_of<engine_work>>(
           environment, identity, std::string(model_name), m_deployment.engine, m_engine_directory,
-          first_weights));
+          is_late ? 0 : first_weights));
+      if (is_late)
+      {
+        m_late_hosts.push_back(host);
+      }
       m_engine_directory[identity.address] = &m_engines.back()->work();
     }
   }
@@ -108,9 +114,9 @@
                                                               desk_queue, desk_work_time));
   }
   result<void> outcome;
-  for (const auto& engine : m_engines)
+  for (std::size_t i = 0; i < first_late; ++i)
   {
-    outcome = outcome.and_then([&engine = *engine] { return engine.start(); });
+    outcome = outcome.and_then([&engine = *m_engines[i]] { return engine.start(); });
   }
   for (const auto& desk : m_desks)
   {
@@ -156,21 +162,14 @@
 {
   for (const machine& host : m_layout.machines)
   {
-    const bool is_entry = host.role == protocol::process_role::entry;
-    const auto text =
-        read_text_file(m_options.templates + (is_entry ? "/entry.yaml" : "/agent.yaml"))
-            .and_then(
-                [&](const std::string& source)
-                { return fill_template(source, settings_fields(m_deployment, m_layout, host)); });
-    if (!text)
+    const bool is_late =
+        std::any_of(m_late_hosts.begin(), m_late_hosts.end(),
+                    [&host](const machine& late) { return late.name == host.name; });
+    if (is_late)
     {
-      return fail(error_code::invalid_argument, "settings template: " + text.error().message);
+      continue;
     }
-    const std::string base = m_options.work_directory + "/" + host.name;
-    std::ofstream(base + ".yaml") << *text;
-    auto started = m_processes.add(host, {m_options.node_program, "--settings", base + ".yaml"},
-                                   base + ".log");
-    if (!started)
+    if (auto started = start_process(host); !started)
     {
       return started;
     }
@@ -179,6 +178,38 @@
   return {};
 }
 
+result<void> platform_run::start_process(const machine& host)
+{
+  const bool is_entry = host.role == protocol::process_role::entry;
+  const auto text =
+      read_text_file(m_options.templates + (is_entry ? "/entry.yaml" : "/agent.yaml"))
+          .and_then(
+              [&](const std::string& source)
+              { return fill_template(source, settings_fields(m_deployment, m_layout, host)); });
+  if (!text)
+  {
+    return fail(error_code::invalid_argument, "settings template: " + text.error().message);
+  }
+  const std::string base = m_options.work_directory + "/" + host.name;
+  std::ofstream(base + ".yaml") << *text;
+  return m_processes.add(host, {m_options.node_program, "--settings", base + ".yaml"},
+                         base + ".log");
+}
+
+result<void> platform_run::start_late_host()
+{
+  if (m_late_hosts.empty())
+  {
+    return {};
+  }
+  const machine host = m_late_hosts.front();
+  m_late_hosts.erase(m_late_hosts.begin());
+  const auto engine =
+      std::find_if(m_engines.begin(), m_engines.end(), [&host](const auto& candidate)
+                   { return candidate->address() == engine_address(host); });
+  return (*engine)->start().and_then([&] { return start_process(host); });
+}
+
 bool platform_run::is_ready() const
 {
   return m_callers && m_callers->ready_entries() == m_deployment.entries;
--- a/Source/Emulator/PlatformRun.h
+++ b/Source/Emulator/PlatformRun.h
@@ -28,6 +28,8 @@
   /// Settings and logs of the processes are written here.
   std::string work_directory;
   std::uint64_t seed = 1;
+  /// Of the hosts with engines, those at the end that join later, without weights.
+  std::size_t late_hosts = 0;
 };
 
 /// The emulated platform and the processes of the system on it.
@@ -40,6 +42,8 @@
   /// `invalid_argument`: a template cannot be filled.
   result<void> start();
   bool is_ready() const;
+  /// The next of the late hosts joins, if there is one left. Errors as of start.
+  result<void> start_late_host();
   /// No new requests; those in progress go on.
   void stop_callers();
   void shut_down();
@@ -97,6 +101,7 @@
   result<void> start_servers();
   result<void> start_proxies();
   result<void> start_processes();
+  result<void> start_process(const machine& host);
   void watch_delay();
 
   async_io::event_loop& m_loop;
@@ -112,6 +117,7 @@
   std::unique_ptr<fleet_operator> m_operator;
   std::vector<std::unique_ptr<stand_ins::relay_loop>> m_proxies;
   std::map<std::string, stand_ins::relay_loop*> m_proxy_of_entry;
+  std::vector<machine> m_late_hosts;
   process_fleet m_processes;
   std::unique_ptr<caller_pool> m_callers;
   async_io::timer m_delay_timer;
--- a/Source/Emulator/Soak.cpp
+++ b/Source/Emulator/Soak.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Emulator/FaultInjector.h"
+#include "Emulator/LoadDisturber.h"
 
 namespace pollenyoke::emulator
 {
@@ -75,17 +76,22 @@
   void begin()
   {
     say("all entries are ready");
-    m_injector = std::make_unique<fault_injector>(
-        m_loop, m_run,
-        m_options.faults ? draw_plan(m_options.run.seed, m_options.duration)
-                         : std::vector<planned_fault>{});
-    if (m_options.faults)
+    if (!m_options.faults)
     {
-      m_injector->start();
+      print_addresses();
+    }
+    else if (m_options.plan == soak_plan::loads)
+    {
+      m_disturber = std::make_unique<load_disturber>(
+          m_loop, m_run,
+          draw_load_plan(m_options.run.seed, m_options.duration, m_run.engines().size()));
+      m_disturber->start();
     }
     else
     {
-      print_addresses();
+      m_injector = std::make_unique<fault_injector>(
+          m_loop, m_run, draw_plan(m_options.run.seed, m_options.duration));
+      m_injector->start();
     }
     m_later.after(report_interval, [this] { report_progress(); });
     m_later.after(duration_cast<nanoseconds>(duration<double>(m_options.duration)),
@@ -124,10 +130,36 @@
   {
     const history& seen = m_run.record().seen();
     say(std::to_string(seen.attempts.size()) + " requests, " +
-        std::to_string(m_injector->injected()) + " faults");
+        std::to_string(fault_count()) + " faults");
     m_later.after(report_interval, [this] { report_progress(); });
   }
 
+  std::size_t fault_count() const
+  {
+    std::size_t count = m_injector ? m_injector->injected() : 0;
+    if (m_disturber)
+    {
+      for (const auto& [step, loads] : m_disturber->disturbed())
+      {
+        count += loads;
+      }
+    }
+    return count;
+  }
+
+  load_counts count_loads()
+  {
+    load_counts out{m_disturber->disturbed(), {}};
+    for (const arrival& came : m_run.record().seen().arrivals)
+    {
+      if (!came.weight_problem.empty())
+      {
+        ++out.not_whole[came.disturbed_load.empty() ? "undisturbed" : came.disturbed_load];
+      }
+    }
+    return out;
+  }
+
   /// People may send requests of their own to a calm run.
   void forget_requests_of_others()
   {
@@ -157,7 +189,7 @@
                     .duration = m_options.duration,
                     .processes = m_run.where().machines.size(),
                     .requests = seen.attempts.size(),
-                    .faults = m_injector->injected(),
+                    .faults = fault_count(),
                     .origin_copies = m_run.origin_copies(),
                     .longest_delay_ms = m_run.longest_delay().count()};
     for (const attempt& sent : seen.attempts)
@@ -174,6 +206,10 @@
     out.violations = find_violations(seen, m_bounds);
     out.leaving = measure_leaving_times(seen, m_bounds);
     out.limits = measure_limit_use(seen);
+    if (m_disturber)
+    {
+      out.loads = count_loads();
+    }
     const bool kept_up = m_run.longest_delay() <= tolerated_delay;
     const bool broken =
         std::any_of(out.violations.begin(), out.violations.end(),
@@ -189,6 +225,7 @@
   rule_bounds m_bounds;
   platform_run m_run;
   std::unique_ptr<fault_injector> m_injector;
+  std::unique_ptr<load_disturber> m_disturber;
   delayed_calls m_later;
   async_io::time_point m_deadline{};
   result<void> m_outcome;
@@ -212,7 +249,9 @@
 
 result<soak_report> run_soak(const deployment& what, const soak_options& options)
 {
-  return soak(what, options).execute();
+  soak_options chosen = options;
+  chosen.run.late_hosts = options.faults && options.plan == soak_plan::loads ? 1 : 0;
+  return soak(what, chosen).execute();
 }
 
 std::string to_json(const soak_report& report)
@@ -235,6 +274,11 @@
       {"verdict", to_string(report.verdict)},
       {"violations", report.violations.size()},
       {"first_violation", nullptr}};
+  if (report.loads)
+  {
+    out["loads_disturbed"] = report.loads->disturbed;
+    out["not_whole"] = report.loads->not_whole;
+  }
   if (!report.violations.empty())
   {
     out["first_violation"] =
--- a/Source/Emulator/Soak.h
+++ b/Source/Emulator/Soak.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,9 +21,19 @@
   not_run,
 };
 
+/// Which faults are drawn.
+enum class soak_plan
+{
+  /// All kinds.
+  mixed,
+  /// Disturbances at the steps of loads.
+  loads,
+};
+
 struct soak_options
 {
   run_options run;
+  soak_plan plan = soak_plan::mixed;
   double duration = 60;
   /// Draw and inject faults; without, the run is calm.
   bool faults = true;
@@ -29,6 +41,15 @@
   bool progress = true;
 };
 
+/// Loads of a run that were disturbed, and what came of them.
+struct load_counts
+{
+  /// By the step at which they were disturbed.
+  std::map<std::string, std::size_t> disturbed;
+  /// Requests that ran with layers that are not whole, by the disturbance of their load.
+  std::map<std::string, std::size_t> not_whole;
+};
+
 struct soak_report
 {
   std::uint64_t seed = 0;
@@ -46,6 +67,8 @@
   std::vector<violation> violations;
   leaving_times leaving;
   limit_use limits;
+  /// Empty unless loads were to be disturbed.
+  std::optional<load_counts> loads;
 };
 
 /// Runs the system on the emulated platform for a while and checks what was seen. Errors as of
