Emulator: agents stand still or end while their order waits at the engine

An agent orders once more 3 s after an order without an answer, so that a late order was refused most times. Its host is kept from that now in most of these loads.

--- a/Source/Emulator/EngineWork.cpp
+++ b/Source/Emulator/EngineWork.cpp
@@ -469,6 +469,11 @@
   }
   if (m_load || (order.expected_orders && *order.expected_orders != m_orders))
   {
+    log_info(log_category::process, "engine refuses an order",
+             {{"at", m_record.now()},
+              {"version", order.version},
+              {"expected", order.expected_orders.value_or(0)},
+              {"orders", m_orders}});
     reply->send(409, {}, {});
     return;
   }
@@ -482,13 +487,16 @@
   m_load = take_staged(order, layers);
   m_put_pieces.clear();
   m_read_back.clear();
-  if (!m_load->problems.empty())
-  {
-    log_info(log_category::process, "engine takes bad pieces",
-             {{"version", order.version},
-              {"problem", m_load->problems.begin()->second.text},
-              {"disturbance", m_disturbance}});
-  }
+  log_info(log_category::process, "engine takes pieces",
+           {{"at", m_record.now()},
+            {"version", order.version},
+            {"from_layer", layers.from},
+            {"to_layer", layers.to},
+            {"expected", order.expected_orders.value_or(0)},
+            {"spoilt", m_spoilt_at.size()},
+            {"problem",
+             m_load->problems.empty() ? "" : m_load->problems.begin()->second.text},
+            {"disturbance", m_disturbance}});
   const step_effect effect = pass_step(load_step::order_accepted);
   if (!m_load)
   {
--- a/Source/Emulator/LoadDisturber.cpp
+++ b/Source/Emulator/LoadDisturber.cpp
@@ -17,6 +17,8 @@
 constexpr double spoilt_after_s = 0.1;
 // The agent of a silent engine ends after its order is on its way.
 constexpr double killed_after_s = 0.05;
+// An agent that stands still while its order waits stands still until the load has ended.
+constexpr double frozen_longer_s = 0.5;
 constexpr double least_downtime_s = 0.2;
 constexpr double downtime_range_s = 1;
 // Every engine that can be used gets requests at once.
@@ -129,8 +131,25 @@
 void load_disturber::delay_order(armed_load& armed)
 {
   armed.is_late = true;
+  log_info(log_category::process, "order waits at its engine",
+           {{"at", m_run.record().now()},
+            {"server", engine(armed.what.engine).id()},
+            {"delay_s", armed.what.order_delay}});
   name_disturbance(armed.what);
   spoil_read_back(armed.what);
+  const double delay = armed.what.order_delay;
+  switch (armed.what.hold)
+  {
+  case late_order_hold::nothing:
+    return;
+  case late_order_hold::agent_frozen:
+    m_run.processes().pause(host_of(armed.what.engine), to_milliseconds(delay + frozen_longer_s));
+    return;
+  case late_order_hold::engine_silent:
+    disturb(engine(armed.what.engine).id(), delay);
+    engine(armed.what.engine).fall_silent(to_milliseconds(delay));
+    return;
+  }
 }
 
 step_effect load_disturber::strike(armed_load& armed)
--- a/Source/Emulator/LoadPlan.cpp
+++ b/Source/Emulator/LoadPlan.cpp
@@ -32,6 +32,14 @@
 constexpr double before_answer_share = 0.5;
 // An agent sends its order within this time after it has read the answer before it.
 constexpr double max_lag_s = 0.0004;
+// An agent orders once more about 3 s after an order without an answer, and one that is killed comes
+// back and stages the pieces again within this time at the least.
+constexpr double order_again_s = 2.9;
+constexpr double restage_s = 1.2;
+constexpr double late_kill_share = 0.75;
+constexpr double frozen_hold_share = 0.5;
+constexpr double silent_hold_share = 0.3;
+constexpr double at_once_share = 0.7;
 constexpr double min_spoilt_share = 0.1;
 constexpr double max_joining_s = 4;
 constexpr double mean_spoilage_gap_s = 4;
@@ -187,13 +195,13 @@
     {
       out.order_delay = between(min_duration_s, max_duration_s);
     }
-    if (out.step == load_step::order_received && out.order_delay > 0)
+    out.lag = draw_lag(out);
+    if (out.step > load_step::order_received && out.order_delay > 0)
     {
-      out.lag = fraction() * out.order_delay;
-    }
-    else if (fraction() >= before_answer_share)
-    {
-      out.lag = fraction() * max_lag_s;
+      const double drawn = fraction();
+      out.hold = drawn < frozen_hold_share ? late_order_hold::agent_frozen
+                 : drawn < frozen_hold_share + silent_hold_share ? late_order_hold::engine_silent
+                                                                 : late_order_hold::nothing;
     }
     out.earlier_orders =
         cause != load_cause::new_weights && fraction() < second_load_share ? 1 : 0;
@@ -206,6 +214,25 @@
     }
   }
 
+  std::optional<double> draw_lag(const planned_load& load)
+  {
+    if (load.step == load_step::order_received && load.order_delay > 0)
+    {
+      return fraction() < late_kill_share
+                 ? between(std::max(0.0, load.order_delay - restage_s), order_again_s)
+                 : fraction() * load.order_delay;
+    }
+    const bool is_silence = load.strike == load_strike::engine_silent ||
+                            load.strike == load_strike::engine_silent_agent_killed ||
+                            load.strike == load_strike::host_frozen;
+    if (is_silence && load.step < load_step::order_received)
+    {
+      // The next call, mostly the order, comes to an engine that has just fallen silent.
+      return fraction() < at_once_share ? 0 : fraction() * max_lag_s;
+    }
+    return fraction() < before_answer_share ? std::nullopt : std::optional(fraction() * max_lag_s);
+  }
+
   void add_spoilage(double at, std::size_t engine)
   {
     m_plan.spoilages.push_back({.at = at,
--- a/Source/Emulator/LoadPlan.h
+++ b/Source/Emulator/LoadPlan.h
@@ -37,6 +37,14 @@
   answer_lost,
 };
 
+/// What keeps an agent from ordering once more while its order waits at the engine.
+enum class late_order_hold
+{
+  nothing,
+  agent_frozen,
+  engine_silent,
+};
+
 /// A load that is to be disturbed. Times in seconds.
 struct planned_load
 {
@@ -53,6 +61,7 @@
   std::optional<double> lag;
   /// The engine accepts the order this much after it received it.
   double order_delay = 0;
+  late_order_hold hold = late_order_hold::nothing;
   /// Orders that the engine accepts before the load that is disturbed.
   unsigned earlier_orders = 0;
   /// Of the pieces that have been read back, those that turn bad right after.
