--- a/Source/Emulator/EngineWork.cpp
+++ b/Source/Emulator/EngineWork.cpp
@@ -93,10 +93,6 @@
                               transport::endpoint& at_fault) const
 {
   const std::uint64_t wanted = number_field(job.request, names::expected_weights, m_version);
-  if (m_waiting.size() >= m_traits.queue)
-  {
-    return 503;
-  }
   if (pipeline.empty())
   {
     return holds({0, m_traits.layers}) && wanted == m_version ? 0 : 421;
@@ -128,7 +124,9 @@
     pipeline = decode_pipeline(*path).value_or(std::vector<protocol::pipeline_stage>{});
   }
   transport::endpoint at_fault;
-  if (const unsigned status = refusal(*job, pipeline, at_fault); status != 0)
+  const unsigned status =
+      m_waiting.size() >= m_traits.queue ? 503 : refusal(*job, pipeline, at_fault);
+  if (status != 0)
   {
     std::string fields;
     if (at_fault.port != 0)
@@ -494,9 +492,9 @@
             {"to_layer", layers.to},
             {"expected", order.expected_orders.value_or(0)},
             {"spoilt", m_spoilt_at.size()},
-            {"problem",
-             m_load->problems.empty() ? "" : m_load->problems.begin()->second.text},
+            {"problem", m_load->problems.empty() ? "" : m_load->problems.begin()->second.text},
             {"disturbance", m_disturbance}});
+  m_disturbance.clear();
   const step_effect effect = pass_step(load_step::order_accepted);
   if (!m_load)
   {
@@ -620,9 +618,26 @@
   m_loading = false;
   m_reported_load = false;
   m_used_load = false;
+  refuse_outdated();
   start_pass();
 }
 
+/// Requests that waited during a load may want the version before it.
+void engine_work::refuse_outdated()
+{
+  m_waiting.remove_if(
+      [this](const sequence& entry)
+      {
+        transport::endpoint at_fault;
+        const unsigned status = refusal(*entry.job, entry.pipeline, at_fault);
+        if (status != 0)
+        {
+          refuse(*entry.job, status);
+        }
+        return status != 0;
+      });
+}
+
 void engine_work::lose_power()
 {
   m_later.clear();
--- a/Source/Emulator/EngineWork.h
+++ b/Source/Emulator/EngineWork.h
@@ -52,8 +52,8 @@
   answer_fate answer = answer_fate::sent;
 };
 
-/// `progress`: pieces that were staged, as a share of all pieces, or that were read back, as a share of
-/// those that were staged; 0 for other steps.
+/// `progress`: pieces that were staged, as a share of all pieces, or that were read back, as a
+/// share of those that were staged; 0 for other steps.
 using load_observer = std::function<step_effect(load_step step, double progress)>;
 
 /// The work of a model engine: passes over the requests in its batch, staged pieces, and orders to
@@ -78,7 +78,7 @@
   void spoil_read_back(double share, std::uint64_t random);
   /// Called at each step of each load, before the call is answered.
   void observe_loads(load_observer observer);
-  /// Named with each problem of layers that orders accepted from now on take.
+  /// Named with each problem of layers that the next order takes.
   void set_disturbance(std::string name);
   /// Called once, when the engine has handed out this many staged pieces.
   void after_staged_reads(unsigned count, std::function<void()> action);
@@ -141,6 +141,7 @@
   void judge_layers(const sequence& writer);
   void begin_load();
   void finish_load();
+  void refuse_outdated();
   void drop(const std::shared_ptr<server_job>& job);
   void admit();
   void start_pass();
--- a/Source/Emulator/LoadDisturber.cpp
+++ b/Source/Emulator/LoadDisturber.cpp
@@ -165,7 +165,10 @@
             {"strike", to_string(what.strike)},
             {"duration_s", what.duration},
             {"order_delay_s", what.order_delay}});
-  name_disturbance(what);
+  if (what.step < load_step::order_accepted)
+  {
+    name_disturbance(what);
+  }
   if (what.step < load_step::order_received)
   {
     spoil_read_back(what);
--- a/Source/Emulator/LoadPlan.cpp
+++ b/Source/Emulator/LoadPlan.cpp
@@ -32,8 +32,8 @@
 constexpr double before_answer_share = 0.5;
 // An agent sends its order within this time after it has read the answer before it.
 constexpr double max_lag_s = 0.0004;
-// An agent orders once more about 3 s after an order without an answer, and one that is killed comes
-// back and stages the pieces again within this time at the least.
+// An agent orders once more about 3 s after an order without an answer, and one that is killed
+// comes back and stages the pieces again within this time at the least.
 constexpr double order_again_s = 2.9;
 constexpr double restage_s = 1.2;
 constexpr double late_kill_share = 0.75;
@@ -53,7 +53,7 @@
   Value value;
   std::string_view name;
   /// How often it is drawn.
-  unsigned weight;
+  unsigned weight = 0;
 };
 
 constexpr std::array<named<load_step>, 8> steps{{
@@ -199,12 +199,11 @@
     if (out.step > load_step::order_received && out.order_delay > 0)
     {
       const double drawn = fraction();
-      out.hold = drawn < frozen_hold_share ? late_order_hold::agent_frozen
+      out.hold = drawn < frozen_hold_share                       ? late_order_hold::agent_frozen
                  : drawn < frozen_hold_share + silent_hold_share ? late_order_hold::engine_silent
                                                                  : late_order_hold::nothing;
     }
-    out.earlier_orders =
-        cause != load_cause::new_weights && fraction() < second_load_share ? 1 : 0;
+    out.earlier_orders = cause != load_cause::new_weights && fraction() < second_load_share ? 1 : 0;
     out.spoilt_share = between(min_spoilt_share, 1);
     out.choice = m_random();
     m_plan.loads.push_back(out);
--- a/Source/Emulator/LoadPlan.h
+++ b/Source/Emulator/LoadPlan.h
@@ -90,9 +90,9 @@
 std::string_view to_string(load_cause cause);
 std::string_view to_string(load_strike strike);
 
-/// Draws the disturbed loads of a run; the same seed gives the same plan. In each round of loads one
-/// engine is spared, so that callers can be served. The host of the last engine joins during the
-/// run.
+/// Draws the disturbed loads of a run; the same seed gives the same plan. In each round of loads
+/// one engine is spared, so that callers can be served. The host of the last engine joins during
+/// the run.
 load_plan draw_load_plan(std::uint64_t seed, double duration, std::size_t engines);
 
 } // namespace pollenyoke::emulator
--- a/Source/Emulator/PlatformRun.cpp
+++ b/Source/Emulator/PlatformRun.cpp
@@ -204,9 +204,9 @@
   }
   const machine host = m_late_hosts.front();
   m_late_hosts.erase(m_late_hosts.begin());
-  const auto engine =
-      std::find_if(m_engines.begin(), m_engines.end(), [&host](const auto& candidate)
-                   { return candidate->address() == engine_address(host); });
+  const auto engine = std::find_if(m_engines.begin(), m_engines.end(),
+                                   [&host](const auto& candidate)
+                                   { return candidate->address() == engine_address(host); });
   return (*engine)->start().and_then([&] { return start_process(host); });
 }
 
--- a/Source/Emulator/Soak.cpp
+++ b/Source/Emulator/Soak.cpp
@@ -129,8 +129,8 @@
   void report_progress()
   {
     const history& seen = m_run.record().seen();
-    say(std::to_string(seen.attempts.size()) + " requests, " +
-        std::to_string(fault_count()) + " faults");
+    say(std::to_string(seen.attempts.size()) + " requests, " + std::to_string(fault_count()) +
+        " faults");
     m_later.after(report_interval, [this] { report_progress(); });
   }
 
--- a/Source/UnitTests/Emulator/ChecksTest.cpp
+++ b/Source/UnitTests/Emulator/ChecksTest.cpp
@@ -43,7 +43,7 @@
   {
     const auto report = run_self_check();
     CPPUNIT_ASSERT(report.checks > 0);
-    CPPUNIT_ASSERT_EQUAL(std::string(R"({"checks":16,"undetected":[]})"), to_json(report));
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"checks":17,"undetected":[]})"), to_json(report));
   }
 
   void faults_excuse_a_machine_for_the_stability_window()
--- a/Source/UnitTests/Emulator/EngineTest.cpp
+++ b/Source/UnitTests/Emulator/EngineTest.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(engine_holds_the_layers_that_the_order_names);
   CPPUNIT_TEST(order_with_an_old_number_is_refused);
   CPPUNIT_TEST(crash_ends_requests_and_forgets_weights);
+  CPPUNIT_TEST(silent_engine_carries_out_orders_of_callers_that_closed);
   CPPUNIT_TEST(troubles_are_seen_by_the_caller);
   CPPUNIT_TEST_SUITE_END();
 
@@ -237,6 +238,21 @@
     CPPUNIT_ASSERT(after.started_ms > before.started_ms);
   }
 
+  void silent_engine_carries_out_orders_of_callers_that_closed()
+  {
+    const auto engine = make_engine(1);
+    stage(*engine, 2);
+    // The connection is there before the engine falls silent.
+    (void)report(*engine);
+    engine->fall_silent(milliseconds(200));
+    auto late = platform::start_call(engine->address(), "m1", 2, std::nullopt, 0,
+                                     platform::running_work::finish);
+    late.timeout = milliseconds(50);
+    CPPUNIT_ASSERT(!call(std::move(late)));
+    wait_for_version(*engine, 2);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, report(*engine).orders);
+  }
+
   /// Guards against faults that the soak counts as injected and that no one can notice.
   void troubles_are_seen_by_the_caller()
   {
