--- a/Source/UnitTests/Peers/PeerTableTest.cpp
+++ b/Source/UnitTests/Peers/PeerTableTest.cpp
@@ -474,10 +474,14 @@
     load_message load;
     load.engine = "10.0.0.9:80";
     load.unread_tokens = 77;
+    load.mark = {1796000000123, 9};
+    load.proven = true;
     const std::string bytes = encode_message(load);
     const auto decoded = decode_message(bytes);
     CPPUNIT_ASSERT(decoded);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{77}, std::get<load_message>(*decoded).unread_tokens);
+    CPPUNIT_ASSERT(std::get<load_message>(*decoded).mark == load.mark);
+    CPPUNIT_ASSERT(std::get<load_message>(*decoded).proven);
     for (std::size_t size = 0; size < bytes.size(); ++size)
     {
       CPPUNIT_ASSERT(!decode_message(std::string_view(bytes).substr(0, size)));
@@ -495,6 +499,15 @@
     CPPUNIT_ASSERT(leaving);
     CPPUNIT_ASSERT_EQUAL(std::string("i-1"), std::get<server_leaving>(*leaving).server);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{77}, std::get<server_leaving>(*leaving).started_ms);
+    const std::string proof = encode_message(layer_proof{"10.0.0.9:80", load.mark});
+    const auto decoded_proof = decode_message(proof);
+    CPPUNIT_ASSERT(decoded_proof);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:80"), std::get<layer_proof>(*decoded_proof).engine);
+    CPPUNIT_ASSERT(std::get<layer_proof>(*decoded_proof).mark == load.mark);
+    for (std::size_t size = 0; size < proof.size(); ++size)
+    {
+      CPPUNIT_ASSERT(!decode_message(std::string_view(proof).substr(0, size)));
+    }
     // A length field of 4 billion elements must not cause an allocation.
     using namespace std::string_view_literals;
     CPPUNIT_ASSERT(!decode_message("\x00\x00\x00\x00\xff\xff\xff\xff"sv));
