UnitTests/Rollout: late calls in four suites, all steps of the next load, layers of a token

A token counts as made with the layers that it runs only: a request of a pair does not run those that are loaded beside it. The stand-ins of the review answer the list of staged pieces.

--- a/Source/UnitTests/Node/ProofReturnTest.cpp
+++ b/Source/UnitTests/Node/ProofReturnTest.cpp
@@ -81,8 +81,7 @@
   void setUp() override
   {
     async_io::http_listener probe(
-        m_loop,
-        [](const async_io::message_head&, const async_io::http_listener::responder&) {});
+        m_loop, [](const async_io::message_head&, const async_io::http_listener::responder&) {});
     CPPUNIT_ASSERT(probe.listen({entry_ip, 0}));
     m_peer_port = probe.port();
   }
@@ -104,9 +103,9 @@
       asked_proven += load.proven ? 1U : 0U;
       return load.mark == known.mark ? std::optional(known) : std::nullopt;
     };
-    std::optional<peers::layer_proof> returned;
+    std::optional<peers::engine_mark> returned;
     auto agent_handlers = make_handlers();
-    agent_handlers.on_proof = [&](const peers::layer_proof& proof)
+    agent_handlers.on_proof = [&](const peers::engine_mark& proof)
     {
       returned = proof;
     };
@@ -114,8 +113,7 @@
                        std::move(entry_handlers));
     peer_process agent(m_loop, make_settings(agent_ip, protocol::process_role::agent),
                        std::move(agent_handlers));
-    test::run_until(m_loop,
-                    [&] { return !agent.peers.live(peers::peer_role::entry).empty(); });
+    test::run_until(m_loop, [&] { return !agent.peers.live(peers::peer_role::entry).empty(); });
     const auto report = [&](const peers::engine_mark& mark, bool proven)
     {
       peers::load_message load;
@@ -134,7 +132,7 @@
     CPPUNIT_ASSERT_EQUAL(0U, asked_proven);
     report({5, 2}, false);
     CPPUNIT_ASSERT(returned);
-    CPPUNIT_ASSERT(returned->mark == known.mark);
+    CPPUNIT_ASSERT(*returned == known.mark);
   }
 };
 
--- a/Source/UnitTests/Rollout/EngineStandIn.cpp
+++ b/Source/UnitTests/Rollout/EngineStandIn.cpp
@@ -30,10 +30,10 @@
 engine_call kind_of(const message_head& head)
 {
   const auto path = async_io::path_of(head.target);
-  return path == "/v1/report"                    ? engine_call::report
-         : path == "/v1/order"                   ? engine_call::order
-         : path.starts_with("/v1/stage-put/")    ? engine_call::stage_put
-                                                 : engine_call::stage_get;
+  return path == "/v1/report"                 ? engine_call::report
+         : path == "/v1/order"                ? engine_call::order
+         : path.starts_with("/v1/stage-put/") ? engine_call::stage_put
+                                              : engine_call::stage_get;
 }
 
 std::uint32_t piece_of(const message_head& head)
@@ -111,10 +111,9 @@
 }
 
 engine_stand_in::engine_stand_in(async_io::event_loop& loop, const rollout::weight_shape& shape)
-    : m_shape(shape),
-      m_server(loop, [this](const message_head& head, const std::string& body,
-                            const deferred_http_server::responder& respond)
-               { receive(head, body, respond); })
+    : m_shape(shape), m_server(loop, [this](const message_head& head, const std::string& body,
+                                            const deferred_http_server::responder& respond)
+                               { receive(head, body, respond); })
 {
 }
 
@@ -151,6 +150,19 @@
   }
 }
 
+void engine_stand_in::release(engine_call kind)
+{
+  const auto others = std::stable_partition(m_held.begin(), m_held.end(),
+                                            [kind](const waiting_call& call)
+                                            { return kind_of(call.head) != kind; });
+  const std::vector<waiting_call> released(others, m_held.end());
+  m_held.erase(others, m_held.end());
+  for (const waiting_call& call : released)
+  {
+    execute(call, call_fate::answered);
+  }
+}
+
 void engine_stand_in::release_answers()
 {
   const auto held = std::move(m_held_answers);
@@ -237,6 +249,12 @@
   return first_problem(m_layers);
 }
 
+std::string engine_stand_in::problem(const protocol::layer_range& layers) const
+{
+  const layer_states used(m_layers.lower_bound(layers.from), m_layers.lower_bound(layers.to));
+  return first_problem(used);
+}
+
 std::string engine_stand_in::problem_at(const peers::engine_mark& mark) const
 {
   const auto found = m_problems.find({mark.started_ms, mark.orders});
@@ -384,10 +402,10 @@
                                  : "\"layers\":{\"from\":" + std::to_string(held.from) +
                                        ",\"to\":" + std::to_string(held.to) + "},";
   return make_response(200, "application/json",
-                       "{" + layers + "\"models\":[" + model + "],\"busy\":" +
-                           (m_load ? "true" : "false") + ",\"sequence\":" +
-                           std::to_string(m_orders) + ",\"born\":" + std::to_string(started_ms) +
-                           "}",
+                       "{" + layers + "\"models\":[" + model +
+                           "],\"busy\":" + (m_load ? "true" : "false") +
+                           ",\"sequence\":" + std::to_string(m_orders) +
+                           ",\"born\":" + std::to_string(started_ms) + "}",
                        true);
 }
 
@@ -410,8 +428,8 @@
     {
       return name + " was of another version";
     }
-    const auto age = std::chrono::duration_cast<milliseconds>(steady_clock::now() -
-                                                              *staged->second.bad_since);
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(steady_clock::now() - *staged->second.bad_since);
     if (age > excused_age)
     {
       return name + " had been bad for " + std::to_string(age.count()) + " ms";
--- a/Source/UnitTests/Rollout/EngineStandIn.h
+++ b/Source/UnitTests/Rollout/EngineStandIn.h
@@ -90,6 +90,7 @@
   /// Executes no call for this long.
   void stand_still(std::chrono::milliseconds time);
   void release();
+  void release(engine_call kind);
   void release_answers();
   /// Staged pieces stay unless the host has lost its power.
   void restart(bool loses_staged_pieces);
@@ -105,6 +106,7 @@
   bool is_loading() const;
   /// What is wrong with the layers that it serves now; empty if nothing.
   std::string problem() const;
+  std::string problem(const protocol::layer_range& layers) const;
   /// What is wrong with the layers that it has held at a mark since its order.
   std::string problem_at(const peers::engine_mark& mark) const;
   std::uint64_t started_ms = 1000;
--- a/Source/UnitTests/Rollout/LateCallsTest.cpp
+++ b/Source/UnitTests/Rollout/LateCallsTest.cpp
@@ -1,3 +1,4 @@
+#include <future>
 #include <string>
 #include <vector>
 
@@ -20,117 +21,118 @@
 // In which an agent that believes something wrong would say so.
 constexpr milliseconds settled{600};
 
-/// Calls and answers that arrive late, and agents that start again meanwhile.
-class late_calls_test : public CppUnit::TestFixture
+/// Plays the scenes of a test at the same time.
+template <typename Value, typename Play>
+void for_each_at_once(const std::vector<Value>& values, const Play& play)
 {
-  CPPUNIT_TEST_SUITE(late_calls_test);
-  CPPUNIT_TEST(order_that_is_already_in_effect_proves_nothing);
-  CPPUNIT_TEST(order_of_an_earlier_run_takes_pieces_that_have_lain);
-  CPPUNIT_TEST(order_of_an_earlier_run_arrives_while_pieces_are_staged);
-  CPPUNIT_TEST(order_of_an_earlier_run_arrives_between_check_and_order);
-  CPPUNIT_TEST(order_of_an_earlier_run_arrives_after_the_load);
-  CPPUNIT_TEST(order_of_an_earlier_run_for_more_layers_arrives_first);
-  CPPUNIT_TEST(accepted_order_is_no_proof_before_its_answer);
-  CPPUNIT_TEST(layers_of_the_first_hour_are_served_after_a_restart);
-  CPPUNIT_TEST(restarted_agent_uses_the_proof_of_its_mark);
-  CPPUNIT_TEST(restarted_agent_loads_again_without_a_proof_of_its_mark);
-  CPPUNIT_TEST(agent_ends_while_layers_are_loaded_again);
-  CPPUNIT_TEST(only_layer_is_loaded_again);
-  CPPUNIT_TEST(only_layer_of_version_1_is_loaded_again);
-  CPPUNIT_TEST(agent_ends_while_the_only_layer_is_loaded_again);
-  CPPUNIT_TEST(late_piece_replaces_one_of_the_next_version);
-  CPPUNIT_TEST(late_piece_of_an_earlier_run_replaces_one_of_the_next_version);
-  CPPUNIT_TEST(late_piece_does_not_hide_one_that_was_bad);
-  CPPUNIT_TEST(newer_version_replaces_layers_without_a_proof);
-  CPPUNIT_TEST(order_that_is_not_executed_proves_nothing);
-  CPPUNIT_TEST_SUITE_END();
-
-  static void spoil_all(load_scene& scene, const rollout::weight_shape& shape)
+  std::vector<std::future<void>> scenes;
+  for (const Value& value : values)
   {
-    for (std::uint32_t piece = 0; piece < shape.pieces; ++piece)
-    {
-      scene.engine().spoil(piece);
-    }
+    scenes.push_back(std::async(std::launch::async, [&play, value] { play(value); }));
   }
-
-  static void check(bool reached, const load_scene& scene)
+  for (auto& scene : scenes)
   {
-    CPPUNIT_ASSERT_EQUAL(std::string(), scene.problem());
-    CPPUNIT_ASSERT(reached);
+    scene.get();
   }
+}
 
-  static void check_served(load_scene& scene, std::uint64_t version)
+void spoil_all(load_scene& scene, const rollout::weight_shape& shape)
+{
+  for (std::uint32_t piece = 0; piece < shape.pieces; ++piece)
   {
-    const auto served = [&]
-    {
-      return scene.serves(version);
-    };
-    check(scene.run_until(served), scene);
-    scene.run_for(settled);
-    check(served(), scene);
+    scene.engine().spoil(piece);
   }
+}
 
-  /// The next order, or the one that begins the load of all layers, takes all pieces when they have
-  /// been bad for longer than is excused.
-  static void take_bad_pieces(load_scene& scene, const rollout::weight_shape& shape)
-  {
-    bool struck = false;
-    scene.engine().on_call = [&scene, &shape, struck](engine_call call, std::uint32_t) mutable
-    {
-      if (call == engine_call::order && !struck)
-      {
-        struck = true;
-        spoil_all(scene, shape);
-        scene.engine().stand_still(freeze);
-      }
-      return call_fate::answered;
-    };
-    scene.restart_agent();
-    check(scene.run_until([&] { return !scene.engine().problem().empty(); }), scene);
-  }
+void check(bool reached, const load_scene& scene)
+{
+  CPPUNIT_ASSERT_EQUAL(std::string(), scene.problem());
+  CPPUNIT_ASSERT(reached);
+}
 
-  /// Engine with all layers of version 2 whose agent has just been killed while an order for
-  /// `next_version`, the first of a new start of the engine, was on its way.
-  static void kill_with_order_on_its_way(load_scene& scene, std::uint64_t next_version)
+void check_served(load_scene& scene, std::uint64_t version)
+{
+  const auto served = [&]
   {
-    scene.restart_agent(next_version);
-    check(scene.run_until([&] { return scene.serves(next_version); }), scene);
-    bool held = false;
-    scene.engine().on_call = [&held](engine_call call, std::uint32_t)
+    return scene.serves(version);
+  };
+  check(scene.run_until(served), scene);
+  scene.run_for(settled);
+  check(served(), scene);
+}
+
+/// The next order, or the one that begins the load of all layers, takes all pieces when they have
+/// been bad for longer than is excused.
+void take_bad_pieces(load_scene& scene, const rollout::weight_shape& shape)
+{
+  bool struck = false;
+  scene.engine().on_call = [&scene, &shape, struck](engine_call call, std::uint32_t) mutable
+  {
+    if (call == engine_call::order && !struck)
     {
-      if (call != engine_call::order || held)
-      {
-        return call_fate::answered;
-      }
-      held = true;
-      return call_fate::held;
-    };
-    // The agent holds all pieces, so that it orders all layers at once.
-    scene.engine().restart(false);
-    check(scene.run_until([&] { return held; }), scene);
-    scene.agent().kill();
-    scene.engine().on_call = nullptr;
-  }
-
-  /// Starts the next run of the agent and has the order of the earlier one arrive when the next
-  /// `call` for the n-th time does.
-  static void release_at(load_scene& scene, engine_call at, unsigned number,
-                         std::uint64_t newest_version)
+      struck = true;
+      spoil_all(scene, shape);
+      scene.engine().stand_still(freeze);
+    }
+    return call_fate::answered;
+  };
+  scene.restart_agent();
+  check(scene.run_until([&] { return !scene.engine().problem().empty(); }), scene);
+}
+
+/// Engine with all layers of version 2 whose agent has just been killed while an order for
+/// `next_version`, the first of a new start of the engine, was on its way.
+void kill_with_order_on_its_way(load_scene& scene, std::uint64_t next_version)
+{
+  scene.restart_agent(next_version);
+  check(scene.run_until([&] { return scene.serves(next_version); }), scene);
+  bool held = false;
+  scene.engine().on_call = [&held](engine_call call, std::uint32_t)
   {
-    unsigned count = 0;
-    scene.engine().on_call = [&scene, &count, at, number](engine_call call, std::uint32_t)
+    if (call != engine_call::order || held)
     {
-      if (call == at && ++count == number)
-      {
-        scene.engine().release();
-      }
       return call_fate::answered;
-    };
-    scene.restart_agent(newest_version);
-    check(scene.run_until([&] { return count >= number && scene.serves(newest_version); }), scene);
-    check_served(scene, newest_version);
-    scene.engine().on_call = nullptr;
-  }
+    }
+    held = true;
+    return call_fate::held;
+  };
+  // The agent holds all pieces, so that it orders all layers at once.
+  scene.engine().restart(false);
+  check(scene.run_until([&] { return held; }), scene);
+  scene.agent().kill();
+  scene.engine().on_call = nullptr;
+}
+
+/// Starts the next run of the agent and has the order of the earlier one arrive when the next
+/// `call` for the n-th time does.
+void release_at(load_scene& scene, engine_call at, unsigned number, std::uint64_t newest_version)
+{
+  unsigned count = 0;
+  scene.engine().on_call = [&scene, &count, at, number](engine_call call, std::uint32_t)
+  {
+    if (call == at && ++count == number)
+    {
+      scene.engine().release();
+    }
+    return call_fate::answered;
+  };
+  scene.restart_agent(newest_version);
+  check(scene.run_until([&] { return count >= number && scene.serves(newest_version); }), scene);
+  check_served(scene, newest_version);
+  scene.engine().on_call = nullptr;
+}
+
+/// Orders that arrive late, after the agent that sent them has given up or ended.
+class late_orders_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(late_orders_test);
+  CPPUNIT_TEST(order_that_is_already_in_effect_proves_nothing);
+  CPPUNIT_TEST(order_of_an_earlier_run_takes_pieces_that_have_lain);
+  CPPUNIT_TEST(order_of_an_earlier_run_arrives_while_pieces_are_staged);
+  CPPUNIT_TEST(order_of_an_earlier_run_arrives_between_check_and_order);
+  CPPUNIT_TEST(order_of_an_earlier_run_arrives_after_the_load);
+  CPPUNIT_TEST(order_of_an_earlier_run_for_more_layers_arrives_first);
+  CPPUNIT_TEST_SUITE_END();
 
 public:
   /// Guards against status 200 as a proof: the layers were loaded by an order that had been on its
@@ -179,45 +181,50 @@
   /// have been bad for long or are of the next version.
   void order_of_an_earlier_run_arrives_while_pieces_are_staged()
   {
-    for (const std::uint64_t next : {2, 3})
-    {
-      load_scene scene(two_layers);
-      kill_with_order_on_its_way(scene, 2);
-      spoil_all(scene, two_layers);
-      scene.run_for(freeze);
-      release_at(scene, engine_call::stage_put, 2, next);
-    }
+    for_each_at_once<std::uint64_t>({2, 3},
+                                    [](std::uint64_t next)
+                                    {
+                                      load_scene scene(two_layers);
+                                      kill_with_order_on_its_way(scene, 2);
+                                      spoil_all(scene, two_layers);
+                                      scene.run_for(freeze);
+                                      release_at(scene, engine_call::stage_put, 2, next);
+                                    });
   }
 
   /// Guards against an order of the next run that does not see what an earlier one has changed
   /// since its check.
   void order_of_an_earlier_run_arrives_between_check_and_order()
   {
-    for (const std::uint64_t next : {2, 3})
-    {
-      for (const auto at : {engine_call::stage_get, engine_call::order})
-      {
-        load_scene scene(two_layers);
-        kill_with_order_on_its_way(scene, 2);
-        release_at(scene, at, 1, next);
-      }
-    }
+    for_each_at_once<std::uint64_t>({2, 3},
+                                    [](std::uint64_t next)
+                                    {
+                                      for_each_at_once<engine_call>(
+                                          {engine_call::stage_get, engine_call::order},
+                                          [next](engine_call at)
+                                          {
+                                            load_scene scene(two_layers);
+                                            kill_with_order_on_its_way(scene, 2);
+                                            release_at(scene, at, 1, next);
+                                          });
+                                    });
   }
 
   /// Guards against an earlier run's order that replaces what the next run has loaded.
   void order_of_an_earlier_run_arrives_after_the_load()
   {
-    for (const std::uint64_t next : {2, 3})
-    {
-      load_scene scene(two_layers);
-      kill_with_order_on_its_way(scene, 2);
-      scene.restart_agent(next);
-      check_served(scene, next);
-      spoil_all(scene, two_layers);
-      scene.engine().release();
-      scene.run_for(settled);
-      check_served(scene, next);
-    }
+    for_each_at_once<std::uint64_t>({2, 3},
+                                    [](std::uint64_t next)
+                                    {
+                                      load_scene scene(two_layers);
+                                      kill_with_order_on_its_way(scene, 2);
+                                      scene.restart_agent(next);
+                                      check_served(scene, next);
+                                      spoil_all(scene, two_layers);
+                                      scene.engine().release();
+                                      scene.run_for(settled);
+                                      check_served(scene, next);
+                                    });
   }
 
   /// Guards against an earlier run's order for all layers that is taken for an order of this run
@@ -244,7 +251,21 @@
     CPPUNIT_ASSERT(scene.engine().is_loading());
     check_served(scene, 2);
   }
+};
 
+/// What an agent takes for a proof of its engine's layers.
+class load_proofs_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(load_proofs_test);
+  CPPUNIT_TEST(accepted_order_is_no_proof_before_its_answer);
+  CPPUNIT_TEST(layers_of_the_first_hour_are_served_after_a_restart);
+  CPPUNIT_TEST(restarted_agent_uses_the_proof_of_its_mark);
+  CPPUNIT_TEST(restarted_agent_loads_again_without_a_proof_of_its_mark);
+  CPPUNIT_TEST(newer_version_replaces_layers_without_a_proof);
+  CPPUNIT_TEST(order_that_is_not_executed_proves_nothing);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
   /// Guards against layers that are added beside running work and used while nothing is known of
   /// their order but that it has been accepted.
   void accepted_order_is_no_proof_before_its_answer()
@@ -329,34 +350,74 @@
     check_served(scene, 2);
   }
 
+  /// Guards against an engine that waits for layers to be loaded again which a newer version
+  /// replaces anyway.
+  void newer_version_replaces_layers_without_a_proof()
+  {
+    load_scene scene(two_layers);
+    take_bad_pieces(scene, two_layers);
+    scene.agent().add_version(3);
+    check_served(scene, 3);
+    // The same after a restart of the agent.
+    scene.restart_agent(4);
+    check_served(scene, 4);
+  }
+
+  /// Guards against an accepted order as a proof for the layers that it should have replaced.
+  void order_that_is_not_executed_proves_nothing()
+  {
+    load_scene scene(two_layers);
+    take_bad_pieces(scene, two_layers);
+    // Too few pieces are held for another load of version 2.
+    scene.engine().orders_to_ignore = 1;
+    scene.restart_agent(3);
+    check_served(scene, 3);
+  }
+};
+
+/// Layers that were taken from bad pieces and are loaded again.
+class repeated_loads_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(repeated_loads_test);
+  CPPUNIT_TEST(agent_ends_while_layers_are_loaded_again);
+  CPPUNIT_TEST(only_layer_is_loaded_again);
+  CPPUNIT_TEST(only_layer_of_version_1_is_loaded_again);
+  CPPUNIT_TEST(agent_ends_while_the_only_layer_is_loaded_again);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
   /// Guards against bad layers that are kept because only some of the orders that load them again
   /// were sent.
   void agent_ends_while_layers_are_loaded_again()
   {
-    for (const unsigned more : {1U, 2U, 3U})
-    {
-      load_scene scene(two_layers);
-      scene.entry().returns_proofs = true;
-      take_bad_pieces(scene, two_layers);
-      const unsigned orders = scene.engine().accepted_orders + more;
-      check(scene.run_until([&] { return scene.engine().accepted_orders == orders; }), scene);
-      scene.restart_agent();
-      check_served(scene, 2);
-    }
+    for_each_at_once<unsigned>(
+        {1, 2, 3},
+        [](unsigned more)
+        {
+          load_scene scene(two_layers);
+          scene.entry().returns_proofs = true;
+          take_bad_pieces(scene, two_layers);
+          const unsigned orders = scene.engine().accepted_orders + more;
+          check(scene.run_until([&] { return scene.engine().accepted_orders == orders; }), scene);
+          scene.restart_agent();
+          check_served(scene, 2);
+        });
   }
 
   /// Guards against an engine with one layer that stays out of service until a newer version is
   /// named, and against the use of the layer that replaces it meanwhile.
   void only_layer_is_loaded_again()
   {
-    for (const bool states_layers : {true, false})
-    {
-      load_scene scene(one_layer);
-      scene.engine().states_layers = states_layers;
-      take_bad_pieces(scene, one_layer);
-      check_served(scene, 2);
-      CPPUNIT_ASSERT((scene.engine().ordered_versions == std::vector<std::uint64_t>{2, 1, 2}));
-    }
+    for_each_at_once<bool>(
+        {true, false},
+        [](bool states_layers)
+        {
+          load_scene scene(one_layer);
+          scene.engine().states_layers = states_layers;
+          take_bad_pieces(scene, one_layer);
+          check_served(scene, 2);
+          CPPUNIT_ASSERT((scene.engine().ordered_versions == std::vector<std::uint64_t>{2, 1, 2}));
+        });
   }
 
   void only_layer_of_version_1_is_loaded_again()
@@ -388,22 +449,17 @@
     scene.restart_agent();
     check_served(scene, 2);
   }
+};
 
-  /// Guards against a piece whose staging had no answer and that replaces one of the next version
-  /// after the check.
-  void late_piece_replaces_one_of_the_next_version()
-  {
-    for (const bool is_killed : {false})
-    {
-      replace_by_late_piece(is_killed);
-    }
-  }
-
-  /// The same with an agent that has been killed since: the next one knows nothing of the piece.
-  void late_piece_of_an_earlier_run_replaces_one_of_the_next_version()
-  {
-    replace_by_late_piece(true);
-  }
+/// Pieces whose staging had no answer and that arrive late.
+class late_pieces_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(late_pieces_test);
+  CPPUNIT_TEST(late_piece_replaces_one_of_the_next_version);
+  CPPUNIT_TEST(late_piece_of_an_earlier_run_replaces_one_of_the_next_version);
+  CPPUNIT_TEST(late_piece_does_not_hide_one_that_was_bad);
+  CPPUNIT_TEST(late_piece_of_a_load_that_was_given_up);
+  CPPUNIT_TEST_SUITE_END();
 
   static void replace_by_late_piece(bool is_killed)
   {
@@ -438,6 +494,55 @@
     check_served(scene, 3);
   }
 
+public:
+  /// Guards against a piece whose staging had no answer and that replaces one of the next version
+  /// after the check.
+  void late_piece_replaces_one_of_the_next_version()
+  {
+    replace_by_late_piece(false);
+  }
+
+  /// The same with an agent that has been killed since: the next one knows nothing of the piece.
+  void late_piece_of_an_earlier_run_replaces_one_of_the_next_version()
+  {
+    replace_by_late_piece(true);
+  }
+
+  /// Guards against a piece whose load ended before the answer to its staging: nobody waits for it.
+  void late_piece_of_a_load_that_was_given_up()
+  {
+    load_scene scene(two_layers);
+    scene.restart_agent();
+    check_served(scene, 2);
+    unsigned orders = 0;
+    unsigned pieces = 0;
+    bool released = false;
+    scene.engine().on_call = [&](engine_call call, std::uint32_t)
+    {
+      if (call == engine_call::order && ++orders == 1)
+      {
+        scene.agent().add_version(3);
+        return call_fate::held;
+      }
+      // While the same order is prepared once more, the engine accepts the first one.
+      if (call == engine_call::stage_put && orders == 1 && ++pieces == 2)
+      {
+        scene.engine().release(engine_call::order);
+        return call_fate::held;
+      }
+      if (call == engine_call::order && !released)
+      {
+        released = true;
+        scene.engine().release(engine_call::stage_put);
+      }
+      return call_fate::answered;
+    };
+    // The agent knows of no earlier run at this start of the engine.
+    scene.engine().restart(false);
+    check(scene.run_until([&] { return released; }), scene);
+    check_served(scene, 3);
+  }
+
   /// Guards against a check after the load that finds a good piece where the engine has taken a bad
   /// one: the piece was staged once more in between, by a call that had been given up.
   void late_piece_does_not_hide_one_that_was_bad()
@@ -468,32 +573,180 @@
     check_served(scene, 2);
     CPPUNIT_ASSERT(struck);
   }
+};
 
-  /// Guards against an engine that waits for layers to be loaded again which a newer version
-  /// replaces anyway.
-  void newer_version_replaces_layers_without_a_proof()
+/// A call of an agent that arrives while the next run of the agent, or the same one, loads.
+struct late_call
+{
+  engine_call held = engine_call::order;
+  /// Which of its kind.
+  unsigned number = 1;
+  /// Call of the later load with which it arrives.
+  engine_call with = engine_call::order;
+  unsigned with_number = 1;
+  std::uint64_t next_version = 2;
+  std::uint64_t first_version = 0;
+  bool agent_restarts = true;
+  /// Pieces staged until then have been bad for longer than is excused.
+  bool pieces_are_bad = false;
+};
+
+std::string describe(const late_call& late)
+{
+  const auto name = [](engine_call call)
   {
-    load_scene scene(two_layers);
-    take_bad_pieces(scene, two_layers);
-    scene.agent().add_version(3);
-    check_served(scene, 3);
-    // The same after a restart of the agent.
-    scene.restart_agent(4);
-    check_served(scene, 4);
+    return call == engine_call::order       ? std::string("order")
+           : call == engine_call::stage_put ? std::string("staging")
+           : call == engine_call::stage_get ? std::string("reading back")
+                                            : std::string("report");
+  };
+  return name(late.held) + " " + std::to_string(late.number) + " with " + name(late.with) + " " +
+         std::to_string(late.with_number) + ", then version " + std::to_string(late.next_version) +
+         " on an engine with version " + std::to_string(late.first_version) +
+         (late.agent_restarts ? ", agent restarts" : "") +
+         (late.pieces_are_bad ? ", pieces are bad" : "");
+}
+
+/// What went wrong; empty if nothing.
+std::string play(const late_call& late)
+{
+  load_scene scene(two_layers);
+  if (late.first_version != 0)
+  {
+    scene.engine().hold(late.first_version);
+  }
+  unsigned count = 0;
+  unsigned later = 0;
+  bool is_held = false;
+  scene.engine().on_call = [&](engine_call call, std::uint32_t)
+  {
+    if (!is_held && call == late.held && ++count == late.number)
+    {
+      is_held = true;
+      return call_fate::held;
+    }
+    if (is_held && call == late.with && ++later == late.with_number)
+    {
+      scene.engine().release();
+    }
+    return call_fate::answered;
+  };
+  scene.restart_agent();
+  if (!scene.run_until([&] { return is_held; }))
+  {
+    return "the call was not sent";
+  }
+  if (late.agent_restarts)
+  {
+    scene.agent().kill();
+  }
+  if (late.pieces_are_bad)
+  {
+    spoil_all(scene, two_layers);
+    scene.run_for(freeze);
+  }
+  if (late.agent_restarts)
+  {
+    scene.restart_agent(late.next_version);
+  }
+  else
+  {
+    scene.agent().add_version(late.next_version);
+  }
+  const auto served = [&]
+  {
+    return scene.serves(late.next_version);
+  };
+  const auto ends = [&]
+  {
+    return served() || !scene.problem().empty();
+  };
+  (void)scene.run_until(ends);
+  // It arrives now if the call that it was to arrive with has not been sent.
+  scene.engine().release();
+  scene.run_for(settled);
+  (void)scene.run_until(ends);
+  return !scene.problem().empty() ? scene.problem() : served() ? "" : "not served";
+}
+
+/// Late calls at all steps of a later load.
+class late_calls_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(late_calls_test);
+  CPPUNIT_TEST(late_order);
+  CPPUNIT_TEST(late_order_with_bad_pieces);
+  CPPUNIT_TEST(late_first_piece);
+  CPPUNIT_TEST(late_last_piece);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void play_all(const late_call& kind)
+  {
+    std::vector<late_call> calls;
+    for (const std::uint64_t next_version : {2, 3})
+    {
+      for (const std::uint64_t first_version : {0, 1})
+      {
+        for (const bool agent_restarts : {true, false})
+        {
+          for (const auto& [with, with_number] :
+               {std::pair(engine_call::stage_put, 1U), std::pair(engine_call::stage_put, 3U),
+                std::pair(engine_call::stage_get, 1U), std::pair(engine_call::stage_get, 3U),
+                std::pair(engine_call::order, 1U), std::pair(engine_call::order, 2U)})
+          {
+            late_call late = kind;
+            late.with = with;
+            late.with_number = with_number;
+            late.next_version = next_version;
+            late.first_version = first_version;
+            late.agent_restarts = agent_restarts;
+            calls.push_back(late);
+          }
+        }
+      }
+    }
+    std::vector<std::future<std::string>> outcomes;
+    outcomes.reserve(calls.size());
+    for (const late_call& late : calls)
+    {
+      outcomes.push_back(std::async(std::launch::async, [late] { return play(late); }));
+    }
+    std::string problems;
+    for (std::size_t i = 0; i < calls.size(); ++i)
+    {
+      if (const std::string problem = outcomes[i].get(); !problem.empty())
+      {
+        problems += "\n" + describe(calls[i]) + ": " + problem;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), problems);
   }
 
-  /// Guards against an accepted order as a proof for the layers that it should have replaced.
-  void order_that_is_not_executed_proves_nothing()
+public:
+  void late_order()
   {
-    load_scene scene(two_layers);
-    take_bad_pieces(scene, two_layers);
-    // Too few pieces are held for another load of version 2.
-    scene.engine().orders_to_ignore = 1;
-    scene.restart_agent(3);
-    check_served(scene, 3);
+    play_all({.held = engine_call::order});
+  }
+
+  void late_order_with_bad_pieces()
+  {
+    play_all({.held = engine_call::order, .pieces_are_bad = true});
+  }
+
+  void late_first_piece()
+  {
+    play_all({.held = engine_call::stage_put});
+  }
+
+  void late_last_piece()
+  {
+    play_all({.held = engine_call::stage_put, .number = 3});
   }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(late_calls_test, "Rollout.LateCalls");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(late_orders_test, "Rollout.LateOrders");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(load_proofs_test, "Rollout.LoadProofs");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(repeated_loads_test, "Rollout.RepeatedLoads");
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(late_pieces_test, "Rollout.LatePieces");
 
 } // namespace
--- a/Source/UnitTests/Rollout/LoadScene.cpp
+++ b/Source/UnitTests/Rollout/LoadScene.cpp
@@ -35,8 +35,7 @@
 agent_process::agent_process(transport::endpoint engine, transport::endpoint origin,
                              rollout::weight_shape shape, handler on_report)
     : m_engine(std::move(engine)), m_origin(std::move(origin)), m_shape(shape),
-      m_on_report(std::move(on_report)),
-      m_keep_running(std::make_unique<async_io::timer>(m_loop))
+      m_on_report(std::move(on_report)), m_keep_running(std::make_unique<async_io::timer>(m_loop))
 {
   m_keep_running->start(std::chrono::hours(1), [] {});
   m_thread = std::thread([this] { m_loop.run(); });
@@ -79,26 +78,25 @@
       {
         m_caller = std::make_unique<async_io::http_caller>(m_loop);
         m_agent = std::make_unique<rollout::rollout_agent>(
-            rollout::fetch_environment{.loop = m_loop,
-                                       .caller = *m_caller,
-                                       .self = "127.0.0.1",
-                                       .peer_port = 1,
-                                       // As early as the rule of loads allows.
-                                       .version_limit = milliseconds(1),
-                                       .region = "east",
-                                       .hosts =
-                                           []
-                                       {
-                                         return std::vector<rollout::rollout_host>{
-                                             {"127.0.0.1", "east"}};
-                                       },
-                                       .has_heard_all = [] { return true; },
-                                       .origin = [this] { return m_origin; },
-                                       .announce =
-                                           [](const std::string&, const peers::piece_announcement&)
-                                       {
-                                       }},
-            m_engine, rollout::rollout_handlers{m_on_report, [] {}});
+            rollout::fetch_environment{
+                .loop = m_loop,
+                .caller = *m_caller,
+                .self = "127.0.0.1",
+                .peer_port = 1,
+                // As early as the rule of loads allows.
+                .version_limit = milliseconds(1),
+                .region = "east",
+                .hosts =
+                    [] {
+                      return std::vector<rollout::rollout_host>{{"127.0.0.1", "east"}};
+                    },
+                .has_heard_all = [] { return true; },
+                .origin = [this] { return m_origin; },
+                .announce =
+                    [](const std::string&, const peers::piece_announcement&) {
+                    }},
+            m_engine, rollout::rollout_handlers{m_on_report, [] {
+                                                }});
         m_agent->set_model("m", m_shape);
         if (newest_version > 1)
         {
@@ -306,9 +304,12 @@
   const auto part = m_entry.part();
   const bool runs_part = !part.is_empty() && m_engine.version() == m_entry.reported_version() &&
                          m_engine.layers().contains(part);
-  if ((runs_whole || runs_part) && !m_engine.problem().empty())
+  const protocol::layer_range used = runs_whole  ? m_engine.layers()
+                                     : runs_part ? part
+                                                 : protocol::layer_range{};
+  if (const std::string problem = m_engine.problem(used); !problem.empty())
   {
-    note("token made although " + m_engine.problem());
+    note("token made although " + problem);
   }
 }
 
--- a/Source/UnitTests/Rollout/LoadScene.h
+++ b/Source/UnitTests/Rollout/LoadScene.h
@@ -23,8 +23,8 @@
 public:
   using handler = std::function<void(const protocol::engine_report&, const rollout::engine_state&)>;
 
-  agent_process(transport::endpoint engine, transport::endpoint origin,
-                rollout::weight_shape shape, handler on_report);
+  agent_process(transport::endpoint engine, transport::endpoint origin, rollout::weight_shape shape,
+                handler on_report);
   ~agent_process();
   agent_process(const agent_process&) = delete;
   agent_process& operator=(const agent_process&) = delete;
--- a/Source/UnitTests/Rollout/LoadStepsTest.cpp
+++ b/Source/UnitTests/Rollout/LoadStepsTest.cpp
@@ -18,7 +18,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr rollout::weight_shape shape{2, 6};
+constexpr std::uint32_t piece_count = 6;
 // Longer than the age at which a bad piece is not excused any more.
 constexpr milliseconds freeze{3300};
 constexpr milliseconds limit{25000};
@@ -54,6 +54,7 @@
   agent_restarts,
   agent_stands_still,
   engine_stands_still,
+  host_stands_still,
   engine_restarts,
   power_lost,
   call_lost,
@@ -73,12 +74,14 @@
   /// Version that the engine holds at the start.
   std::uint64_t held = 0;
   bool proofs_return = false;
+  unsigned layers = 2;
 };
 
 std::string describe(const situation& at)
 {
   return std::string(moment_names.at(static_cast<std::size_t>(at.when))) + ", load " +
          std::to_string(at.load) + " of an engine with version " + std::to_string(at.held) +
+         " and " + std::to_string(at.layers) + " layers" +
          (at.proofs_return ? ", proofs return" : "");
 }
 
@@ -86,7 +89,7 @@
 class struck_load
 {
 public:
-  explicit struck_load(const situation& at) : m_at(at), m_scene(shape)
+  explicit struck_load(const situation& at) : m_at(at), m_scene({at.layers, piece_count})
   {
     m_scene.entry().returns_proofs = at.proofs_return;
     if (at.held != 0)
@@ -151,7 +154,7 @@
 
   unsigned pieces_of_load() const
   {
-    return m_at.held == 0 && m_at.load == 1 ? shape.pieces / 2 : shape.pieces;
+    return m_at.layers > 1 && m_at.held == 0 && m_at.load == 1 ? piece_count / 2 : piece_count;
   }
 
   bool is_in_load() const
@@ -265,6 +268,11 @@
       m_scene.engine().stand_still(freeze);
       m_quiet += freeze;
       break;
+    case event::host_stands_still:
+      m_scene.engine().stand_still(freeze);
+      m_scene.agent().stand_still(freeze);
+      m_quiet += freeze;
+      break;
     case event::engine_restarts:
       m_scene.engine().restart(false);
       break;
@@ -316,6 +324,7 @@
   CPPUNIT_TEST(agent_restarts_and_gets_its_proofs_back);
   CPPUNIT_TEST(agent_stands_still);
   CPPUNIT_TEST(engine_stands_still);
+  CPPUNIT_TEST(host_stands_still);
   CPPUNIT_TEST(engine_restarts);
   CPPUNIT_TEST(host_loses_power);
   CPPUNIT_TEST(call_is_lost);
@@ -334,6 +343,7 @@
       const auto when = static_cast<moment>(i);
       situations.push_back({what, when, 1, 0, proofs_return});
       situations.push_back({what, when, 1, 1, proofs_return});
+      situations.push_back({what, when, 1, 1, proofs_return, 1});
       if (when > moment::piece_fetched)
       {
         situations.push_back({what, when, 2, 0, proofs_return});
@@ -377,6 +387,11 @@
     play_all(event::engine_stands_still);
   }
 
+  void host_stands_still()
+  {
+    play_all(event::host_stands_still);
+  }
+
   void engine_restarts()
   {
     play_all(event::engine_restarts);
--- a/Source/UnitTests/Rollout/UnprovenLayersTest.cpp
+++ b/Source/UnitTests/Rollout/UnprovenLayersTest.cpp
@@ -140,7 +140,11 @@
       return make_response(answer_order(body), "", "", true);
     }
     std::uint64_t number = 0;
-    CPPUNIT_ASSERT(parse_number(query_parameter(head.target, "num"), number));
+    if (!parse_number(query_parameter(head.target, "num"), number))
+    {
+      // The list of the staged pieces: the agent fetches all of them from the origin.
+      return ok(R"({"held":[]})");
+    }
     const auto piece = static_cast<std::uint32_t>(number);
     if (path.starts_with("/v1/stage-put/"))
     {
