Rollout: a check counts only if no piece was on its way when it began

Cause (step tests, and the model): a piece of a load that was given up could arrive between the check of the next load and its order, and be answered before it; an order without an answer did not look at pieces on their way.

Change: what is known of pieces on their way is noted when a check begins and kept with an order that has no answer.

--- a/Source/Core/Rollout/RolloutAgent.cpp
+++ b/Source/Core/Rollout/RolloutAgent.cpp
@@ -196,6 +196,11 @@
   return m_report && m_proven.covers(mark_of(*m_report));
 }
 
+bool rollout_agent::is_staging_known() const
+{
+  return m_staging_is_known && m_unanswered_stagings == 0;
+}
+
 bool rollout_agent::is_loading() const
 {
   const bool busy = m_load.version != 0 || m_draining_since || m_report->busy;
@@ -314,7 +319,8 @@
   m_loads_while_serving = false;
   log_info(log_category::weights, "engine accepted a load order without an answer",
            {{"version", order.step.version}});
-  if (order.restaged || !m_staging_is_known || m_report->orders != order.base.mark.orders + 1)
+  if (order.restaged || !order.check_is_lasting || !is_staging_known() ||
+      m_report->orders != order.base.mark.orders + 1)
   {
     reject_load();
     return;
@@ -822,6 +828,8 @@
   ++m_checks;
   m_confirmations = 0;
   m_check.emplace(boot_clock::now(), m_load_base.mark.started_ms);
+  // A piece that is still on its way may arrive behind the check, and be answered before the order.
+  m_check_is_lasting = is_staging_known();
   verify_staged_piece(pieces_for_layers(m_load.layers, m_shape).first);
 }
 
@@ -937,7 +945,10 @@
   }
   if (!answer)
   {
-    m_unanswered_order = {.step = m_load, .base = m_load_base, .lost_at = current_time()};
+    m_unanswered_order = {.step = m_load,
+                          .base = m_load_base,
+                          .check_is_lasting = m_check_is_lasting,
+                          .lost_at = current_time()};
     abort_load("answer to the order was lost: " + answer.error().message);
     return;
   }
@@ -954,17 +965,17 @@
             {"status", answer->head.status},
             {"running", m_report ? m_report->running : 0}});
   m_unanswered_order.reset();
-  const bool is_staging_known = m_staging_is_known && m_unanswered_stagings == 0;
   // The process or the engine may have stood still after the order was sent.
   const bool in_time = m_check->covers(boot_clock::now());
-  if (!in_time && !is_staging_known)
+  const bool is_lasting = m_check_is_lasting && is_staging_known();
+  if (!in_time && !is_lasting)
   {
     reject_load();
     return;
   }
   m_order_accepted_at = current_time();
   m_order_answered = true;
-  m_load_in_doubt = !in_time || !is_staging_known;
+  m_load_in_doubt = !in_time || !is_lasting;
   m_rechecking = false;
   if (m_load_in_doubt)
   {
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -88,6 +88,7 @@
   {
     load_step step;
     load_base base;
+    bool check_is_lasting = false;
     async_io::time_point lost_at{};
     /// Pieces were staged again since, so that they do not show what such an order took.
     bool restaged = false;
@@ -117,6 +118,9 @@
   /// Whether the set of known hosts is stable, so that a fetch can be planned.
   bool has_settled();
   bool is_proven() const;
+  /// Whether no piece may arrive at the engine any more that was sent before. It would replace one
+  /// that is staged by now.
+  bool is_staging_known() const;
   /// Whether entries have to stop sending new requests to the engine.
   bool is_loading() const;
   void publish_report(bool loading);
@@ -222,6 +226,8 @@
   /// Changes with each load, so that answers to calls of an earlier one are recognized.
   std::uint64_t m_load_attempt = 0;
   std::optional<staged_check> m_check;
+  /// No piece was on its way to the engine when that check began.
+  bool m_check_is_lasting = false;
   /// Passes over the staged pieces in the current load.
   unsigned m_checks = 0;
   /// Reports that were asked for since the last of these passes.
@@ -235,8 +241,8 @@
   bool m_rechecking = false;
   std::optional<unanswered_order> m_unanswered_order;
   unsigned m_unanswered_stagings = 0;
-  /// All pieces that were sent to this start of the engine were sent by this process and answered.
-  /// Others may still replace a piece that is staged later.
+  /// This process has seen the start of the engine, and had an answer for each piece that it sent
+  /// since, but for those that it still waits for.
   bool m_staging_is_known = false;
   proven_layers m_proven;
   /// Mark without a proof that the engine reported last, and when it did so first.
