--- a/Spec/LayerProof.pml
+++ b/Spec/LayerProof.pml
@@ -1,6 +1,6 @@
-/* Proof that the layers of an engine were taken from whole pieces (docs/design.md, section 6). A mark
- * is the start of an engine and the number of orders that it has accepted since. Layers change with
- * an accepted order or a restart only, so what is proven of a mark stays true.
+/* Proof that the layers of an engine were taken from whole pieces (docs/design.md, section 6). A
+ * mark is the start of an engine and the number of orders that it has accepted since. Layers change
+ * with an accepted order or a restart only, so what is proven of a mark stays true.
  *
  * Model step              Function
  * Engine: accept          the engine's order queue; orders are accepted late or not at all
@@ -13,9 +13,14 @@
  * Agent: report           rollout_agent::publish_report
  * Agent: recall           an entry answers a report with the proof that it remembers
  * Entry: send             backend_table: choice by report; the engine checks id, version and layers
- * Faults: spoil, tick     a staged piece turns bad; the tolerance passes: a piece that was bad before
- *                         has been bad too long, a check that was begun before is too old
- * Faults: expire          the lifetime of reports passes; entries use none that was asked for before
+ * Faults: spoil, tick     a staged piece turns bad; the tolerance passes: a piece that was bad
+ *                         before has been bad too long, a check that was begun before is too old
+ * Faults: expire          the lifetime of reports passes: entries use none that was asked for
+ *                         before, and requests that were sent by them have arrived
+ *
+ * -DBOUND: requests use connections that were open before the report was asked for.
+ * -DSTRICT: a piece that a late write replaces by one of another version is bad at once. The
+ * correct form does not hold then.
  *
  * Variants that the checker must reject:
  * BROKEN_REPEAT           an answer 200 proves the mark
@@ -25,15 +30,18 @@
  * BROKEN_RECORD           an entry takes the store's record of an engine as proof
  * BROKEN_REREAD           pieces that are read back prove layers that an earlier order took
  * BROKEN_WRITE            pieces are read back while an earlier write of one may be on its way
- * BROKEN_RESTART          a restarted engine is loaded while reports of its last start are in use
- * BROKEN_MEMORY           entries use a remembered proof while the agent loads the layers again
- * BROKEN_RELOAD           a restarted agent loads layers again while earlier reports are in use
+ * BROKEN_RESTART          a restarted engine takes layers that reports of its last start name
+ * BROKEN_RELOAD           a restarted agent takes layers again that reports of its last run name
+ * BROKEN_NAMED            an agent takes layers again that its own reports name
  */
 #ifndef RESTARTS
 #define RESTARTS 1
 #endif
 #ifndef KILLS
-#define KILLS 1
+#define KILLS 2
+#endif
+#ifndef STOPS
+#define STOPS 2 /* restarts and kills together */
 #endif
 #ifndef ORDERS
 #define ORDERS 3 /* orders that an engine accepts per start before the faults end */
@@ -48,7 +56,7 @@
 byte staged[2]; /* version of the piece; 0: missing */
 byte spoilt[2]; /* 0: good, 1: bad, 2: bad for longer than the tolerance */
 
-/* An order on its way. The connection is bound to a start, which ends it with all that it carries. */
+/* An order on its way. Its connection ends with the start that it was opened to. */
 typedef order_t
 {
   byte expected;
@@ -77,10 +85,7 @@
 byte reread_seq = NONE, reread_layers = 0;
 bool writes_known = true; /* no write of a staged piece can be on its way */
 bool restarted = false;
-bool reloading = false; /* reports name no mark until the layers have been loaded again */
-/* No report is in use that was asked for before the restart of the engine, and of the agent before
- * it began to load again. */
-bool engine_waited = true, reload_waited = false;
+byte named = 0; /* layers that a report in use may name */
 
 /* Entry: what it sends requests for, and the last proven mark. */
 byte report_version = 0, report_held = 0;
@@ -98,6 +103,9 @@
       ((((layers) & 2) && (staged[1] != v || spoilt[1] == 2)) -> 2 : 0))
 #define at_mark (known_seq == seq)
 #define proven (at_mark && known_version == version && (held & (ALL - known_good)) == 0)
+/* Layers of the same version are not taken again while requests for them may arrive. */
+#define to_take (own.layers & (version == own.version -> ALL - held : ALL))
+#define blocked ((version == 0 || version == own.version) && (to_take & named) != 0)
 #define serves (proven && version == wanted && held == ALL)
 
 inline clear(o)
@@ -192,26 +200,13 @@
       known_version = version;
 #ifdef BROKEN_TRUST
       known_good = (restarted -> held : known_good)
-#endif
-    }
-  /* No entry has answered with the proof. */
-  :: d_step
-    {
-      order == IDLE && restarted && at_mark && !proven && version == wanted && !reloading ->
-      reloading = true;
-#ifdef BROKEN_RELOAD
-      reload_waited = true
 #endif
     }
   /* Plans to load the wanted version, the layers that lack, or unproven layers again: an order for
    * fewer layers drops the others. */
   :: d_step
     {
-      order == IDLE && at_mark && !serves &&
-#ifndef BROKEN_RESTART
-          engine_waited &&
-#endif
-          (proven || version != wanted || !restarted || reload_waited) && (calm || seq < ORDERS) ->
+      order == IDLE && at_mark && !serves && (calm || seq < ORDERS) ->
       if
       :: version != wanted && held == 0 && !calm -> layers = 1 /* the first pieces are there */
       :: version != wanted -> layers = ALL
@@ -232,22 +227,20 @@
   /* Stages and checks the pieces, asks for a report and sends the order. */
   :: d_step
     {
-      order == PLANNED && at_mark ->
+      order == PLANNED && at_mark && !blocked ->
       layers = own.layers;
       number = own.version;
       stage(layers, number);
       layers = 0;
       number = 0;
       own.expected = seq;
-      taken = own.layers & (version == own.version -> ALL - held : ALL);
+      taken = to_take;
       reread_seq = seq + 1;
       reread_layers = taken;
       check_valid = true;
       order = SENT
     }
-  /* A load that ends before its order. */
-  :: d_step { !calm && order == IDLE && !(staged[0] == wanted && spoilt[0] == 0) -> stage(1, wanted) }
-  :: d_step { !calm && order == IDLE && !(staged[1] == wanted && spoilt[1] == 0) -> stage(2, wanted) }
+  /* A write of a piece that is not answered ends the load. */
   :: d_step
     {
       !calm && order == IDLE && late_write == 0 ->
@@ -319,18 +312,16 @@
 #endif
   :: d_step
     {
-      #ifdef BROKEN_MEMORY
-      at_mark && (proven || memory_seq == seq) &&
-#else
-      at_mark && (proven || (memory_seq == seq && !reloading)) &&
-#endif
+            at_mark && (proven || memory_seq == seq) &&
           (report_version != version || report_held != held || (proven && memory_seq != seq)) ->
       report_version = version;
       report_held = held;
+#ifndef BROKEN_NAMED
+      named = named | held;
+#endif
       memory_seq = (proven -> seq : memory_seq)
     }
-  :: d_step { proven && reloading -> reloading = false; reload_waited = false }
-  :: d_step { at_mark && !proven && !reloading && memory_seq == seq -> known_good = held }
+  :: d_step { at_mark && !proven && memory_seq == seq -> known_good = held }
   od
 }
 
@@ -367,18 +358,17 @@
     }
   :: d_step
     {
-      (!calm && report_version != 0) || !engine_waited || (reloading && !reload_waited) ->
+      (!calm && (report_version != 0 || named != 0)) || (calm && order == PLANNED && blocked) ->
       report_version = 0;
       report_held = 0;
-      engine_waited = true;
-      reload_waited = reloading
+      named = 0
     }
   /* The entry starts again; an earlier report may still reach it. */
   :: d_step { !calm && memory_seq != NONE -> memory_seq = NONE }
   /* The engine starts again under its id, with the staged pieces or without them. */
   :: d_step
     {
-      !calm && restarts < RESTARTS ->
+      !calm && restarts < RESTARTS && restarts + kills < STOPS ->
       restarts++;
       if
       :: skip
@@ -393,7 +383,6 @@
       late_piece = 0;
       end_load();
 #ifdef BOUND
-      /* Requests of earlier reports use connections that have ended. */
       report_version = 0;
       report_held = 0;
 #endif
@@ -401,15 +390,15 @@
       memory_seq = NONE;
       reread_seq = NONE;
       reread_layers = 0;
-      writes_known = true;
-      reloading = false;
-      reload_waited = false;
-      engine_waited = false
+#ifdef BROKEN_RESTART
+      named = 0;
+#endif
+      writes_known = true
     }
   /* The agent is killed and starts again. */
   :: d_step
     {
-      !calm && kills < KILLS ->
+      !calm && kills < KILLS && restarts + kills < STOPS ->
       kills++;
       if
       :: order == SENT ->
@@ -425,13 +414,16 @@
       reread_seq = NONE;
       reread_layers = 0;
       writes_known = false;
-      reloading = false;
-      reload_waited = false;
+#ifdef BROKEN_RELOAD
+      named = 0;
+#else
+      named = ALL;
+#endif
       restarted = true
     }
   :: d_step { !calm && wanted < NEWEST -> wanted++ }
   :: d_step { !calm -> calm = true }
-  /* Without faults the engine ends up with all layers of the newest version, and requests are sent. */
+  /* Without faults the engine ends up with all layers of the newest version and is used. */
   :: timeout ->
     assert(serves && bad == 0 && report_version == wanted && report_held == ALL);
     break
