--- a/Source/Core/Rollout/ProvenLayers.cpp
+++ b/Source/Core/Rollout/ProvenLayers.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+peers::engine_mark mark_of(const protocol::engine_report& report)
+{
+  return {report.started_ms, report.orders};
+}
+
 void proven_layers::add(const peers::engine_mark& mark)
 {
   if (mark.started_ms == 0 || covers(mark))
--- a/Source/Core/Rollout/ProvenLayers.h
+++ b/Source/Core/Rollout/ProvenLayers.h
@@ -3,10 +3,13 @@
 #include <deque>
 
 #include "Peers/EngineMark.h"
+#include "Protocol/ServingModel.h"
 
 namespace pollenyoke::rollout
 {
 
+peers::engine_mark mark_of(const protocol::engine_report& report);
+
 /// The marks of an engine at which its layers are known to be made of whole pieces. Layers change
 /// only together with the mark, so that a proof holds for good.
 class proven_layers
--- a/Source/Core/Rollout/RolloutAgent.h
+++ b/Source/Core/Rollout/RolloutAgent.h
@@ -235,6 +235,7 @@
   bool m_order_in_flight = false;
   /// When the engine accepted the load order for that version.
   std::optional<async_io::time_point> m_order_accepted_at;
+  /// Its answer was read; otherwise only a report tells that the engine has accepted it.
   bool m_order_answered = false;
   /// The engine may have taken pieces later than the check of them allows, or other ones.
   bool m_load_in_doubt = false;
