--- a/Source/UnitTests/Rollout/RolloutAgentTest.cpp
+++ b/Source/UnitTests/Rollout/RolloutAgentTest.cpp
@@ -11,10 +11,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "AsyncIo/HttpListener.h"
-#include "AsyncIo/HttpParser.h"
-#include "AsyncIo/TcpConnection.h"
 #include "Common/Digest.h"
 #include "Rollout/RolloutAgent.h"
+#include "ScriptedHttpServer.h"
 
 namespace
 {
@@ -24,6 +23,7 @@
 using namespace pollenyoke::rollout;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using test::scripted_http_server;
 
 constexpr std::uint32_t piece_count = 4;
 
@@ -32,66 +32,6 @@
   return "version " + std::to_string(version) + " piece " + std::to_string(piece);
 }
 
-/// HTTP server that answers each request with the result of a function; an empty result closes the
-/// connection.
-class scripted_http_server
-{
-public:
-  using handler = std::function<std::string(const message_head&, const std::string& body)>;
-
-  scripted_http_server(event_loop& loop, handler on_request)
-      : m_listener(loop, [this](const tcp_connection::pointer& connection) { accept(connection); }),
-        m_on_request(std::move(on_request))
-  {
-    CPPUNIT_ASSERT(m_listener.listen({"127.0.0.1", 0}));
-  }
-  ~scripted_http_server()
-  {
-    for (const auto& connection : m_connections)
-    {
-      connection->close();
-    }
-  }
-  scripted_http_server(const scripted_http_server&) = delete;
-  scripted_http_server& operator=(const scripted_http_server&) = delete;
-  scripted_http_server(scripted_http_server&&) = delete;
-  scripted_http_server& operator=(scripted_http_server&&) = delete;
-
-  transport::endpoint address() const
-  {
-    return {"127.0.0.1", m_listener.port()};
-  }
-
-private:
-  void accept(const tcp_connection::pointer& connection)
-  {
-    const auto parser = std::make_shared<http_parser>(message_kind::request, parse_limits{});
-    m_connections.push_back(connection);
-    connection->start(
-        [this, connection, parser](std::string_view data)
-        {
-          parser->feed(data);
-          if (!parser->is_complete())
-          {
-            return;
-          }
-          const std::string answer = m_on_request(parser->head(), parser->take_body());
-          *parser = http_parser(message_kind::request, {});
-          if (answer.empty())
-          {
-            connection->close();
-            return;
-          }
-          connection->write(answer);
-        },
-        [](close_reason) {});
-  }
-
-  tcp_listener m_listener;
-  handler m_on_request;
-  std::vector<tcp_connection::pointer> m_connections;
-};
-
 /// Runs an agent against stand-ins for the engine and the origin that speak the platform's HTTP
 /// API.
 class rollout_agent_test : public CppUnit::TestFixture
--- a/Source/UnitTests/Rollout/UnprovenLayersTest.cpp
+++ b/Source/UnitTests/Rollout/UnprovenLayersTest.cpp
@@ -8,10 +8,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "AsyncIo/HttpParser.h"
-#include "AsyncIo/TcpConnection.h"
 #include "Common/Digest.h"
 #include "Rollout/RolloutAgent.h"
+#include "ScriptedHttpServer.h"
 
 namespace
 {
@@ -21,6 +20,7 @@
 using namespace pollenyoke::rollout;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using test::scripted_http_server;
 
 constexpr std::uint32_t piece_count = 4;
 constexpr unsigned layer_count = 2;
@@ -35,59 +35,6 @@
   return make_response(200, "application/json", body, true);
 }
 
-/// HTTP server that answers each request with the result of a function.
-class scripted_server
-{
-public:
-  using handler = std::function<std::string(const message_head&, const std::string& body)>;
-
-  scripted_server(event_loop& loop, handler on_request)
-      : m_listener(loop, [this](const tcp_connection::pointer& connection) { accept(connection); }),
-        m_on_request(std::move(on_request))
-  {
-    CPPUNIT_ASSERT(m_listener.listen({"127.0.0.1", 0}));
-  }
-  ~scripted_server()
-  {
-    for (const auto& connection : m_connections)
-    {
-      connection->close();
-    }
-  }
-  scripted_server(const scripted_server&) = delete;
-  scripted_server& operator=(const scripted_server&) = delete;
-  scripted_server(scripted_server&&) = delete;
-  scripted_server& operator=(scripted_server&&) = delete;
-
-  transport::endpoint address() const
-  {
-    return {"127.0.0.1", m_listener.port()};
-  }
-
-private:
-  void accept(const tcp_connection::pointer& connection)
-  {
-    const auto parser = std::make_shared<http_parser>(message_kind::request, parse_limits{});
-    m_connections.push_back(connection);
-    connection->start(
-        [this, connection, parser](std::string_view data)
-        {
-          parser->feed(data);
-          if (parser->is_complete())
-          {
-            const std::string answer = m_on_request(parser->head(), parser->take_body());
-            *parser = http_parser(message_kind::request, {});
-            connection->write(answer);
-          }
-        },
-        [](close_reason) {});
-  }
-
-  tcp_listener m_listener;
-  handler m_on_request;
-  std::vector<tcp_connection::pointer> m_connections;
-};
-
 /// An agent whose engine may hold layers without a proof.
 class unproven_layers_test : public CppUnit::TestFixture
 {
@@ -100,8 +47,8 @@
   event_loop m_loop;
   timer m_timer{m_loop};
   http_caller m_caller{m_loop};
-  std::unique_ptr<scripted_server> m_engine;
-  std::unique_ptr<scripted_server> m_origin;
+  std::unique_ptr<scripted_http_server> m_engine;
+  std::unique_ptr<scripted_http_server> m_origin;
   std::unique_ptr<rollout_agent> m_agent;
 
   std::uint64_t m_version = 0;
@@ -226,10 +173,10 @@
 public:
   void setUp() override
   {
-    m_engine = std::make_unique<scripted_server>(
+    m_engine = std::make_unique<scripted_http_server>(
         m_loop, [this](const message_head& head, const std::string& body)
         { return answer_engine(head, body); });
-    m_origin = std::make_unique<scripted_server>(
+    m_origin = std::make_unique<scripted_http_server>(
         m_loop,
         [](const message_head& head, const std::string& /*body*/) { return answer_origin(head); });
     m_agent = std::make_unique<rollout_agent>(
