--- a/Source/UnitTests/Rollout/LateCallsTest.cpp
+++ b/Source/UnitTests/Rollout/LateCallsTest.cpp
@@ -343,7 +343,9 @@
     check_served(scene, 2);
     const auto mark = scene.engine().mark();
     const unsigned orders = scene.engine().accepted_orders;
-    scene.restart_agent();
+    scene.agent().kill();
+    // Reports of that run may still be on their way.
+    scene.run_for(milliseconds(10));
     bool proven = false;
     scene.on_report = [&](const protocol::engine_report& report, const rollout::engine_state& state)
     {
@@ -352,6 +354,7 @@
       scene.agent().send_proof({mark.started_ms, mark.orders - 1});
       scene.agent().send_proof({mark.started_ms + 1, mark.orders});
     };
+    scene.restart_agent();
     check(scene.run_until([&] { return scene.engine().accepted_orders > orders; }), scene);
     scene.on_report = nullptr;
     CPPUNIT_ASSERT(!proven);
