--- a/Source/Core/Gateway/BackendTable.cpp
+++ b/Source/Core/Gateway/BackendTable.cpp
@@ -20,9 +20,9 @@
 // An engine replaces its layers 0.3 s after the order at the earliest, so an older report does not
 // prove that it still holds them.
 constexpr milliseconds partial_report_lifetime{250};
-// A layer may have been taken from a piece that had been bad for 3 s only if the order was checked
-// that long before. An engine that restarted under its id since a younger report has no such layer
-// yet; the rest is for the way of the request.
+// An order takes pieces that have been bad for too long only if it is accepted more than 3 s after
+// its check, which began after every report of an earlier start of the engine. The difference
+// covers the transit of a request.
 constexpr milliseconds whole_report_lifetime{2500};
 // An order is sent 2 s after the begin of its check at the latest, and the engine has to be silent
 // for another second before it takes pieces that have been bad for too long.
