--- a/Source/Emulator/CallerPool.h
+++ b/Source/Emulator/CallerPool.h
@@ -31,6 +31,8 @@
   void set_load(double factor);
   /// Share of the callers who leave early; empty for the deployment's.
   void set_impatient_share(std::optional<double> share);
+  /// A request as the callers of the fleet send it; without a key if there is none yet.
+  caller_request draw_request();
   /// Entries that said at the last question that they are ready.
   std::size_t ready_entries() const;
 
@@ -57,7 +59,6 @@
   };
 
   void send_next();
-  caller_request draw_request();
   std::optional<caller_key> draw_key();
   void begin_attempt(const std::shared_ptr<request_flow>& flow, bool may_reuse);
   void finish_attempt(const std::shared_ptr<request_flow>& flow, const attempt_outcome& outcome);
--- a/Source/Emulator/Checks.cpp
+++ b/Source/Emulator/Checks.cpp
@@ -618,39 +618,151 @@
   return out;
 }
 
-/// True if a fault, a server or the caller's own limit explains that a request in a planned stop
-/// had no whole answer.
+/// The servers that each request reached, whether they ran it or not.
+runs_by_request index_arrivals(const history& seen)
+{
+  runs_by_request out;
+  for (const arrival& came : seen.arrivals)
+  {
+    out[came.request].push_back(&came);
+  }
+  return out;
+}
+
+/// True if the caller waited and its connection ended without a whole answer, after the machine had
+/// read the request: it passed it on, or it closed in order well after the last byte.
+bool is_cut(const attempt& sent, bool passed_on, const rule_bounds& bounds)
+{
+  const bool unanswered = sent.answer == answer_state::none || sent.answer == answer_state::cut;
+  const bool read = passed_on || (!sent.reset && sent.ended > sent.sent + bounds.loss_slack);
+  return unanswered && read && !sent.gave_up && !sent.behind_last_answer;
+}
+
+/// True if an unplanned fault, a server or the caller's own limit explains it.
 bool is_excused(const history& seen, const attempt& sent, const std::vector<const arrival*>& runs,
                 const rule_bounds& bounds)
 {
   const moment from = sent.sent - bounds.stability_window;
-  return sent.ended + deadline_slack >= sent.due ||
-         is_disturbed(seen, sent.machine, from, sent.ended) ||
+  const bool machine_disturbed = std::any_of(
+      seen.disturbances.begin(), seen.disturbances.end(),
+      [&](const disturbance& fault)
+      {
+        return !fault.planned && fault.scope == sent.machine && fault.from <= sent.ended &&
+               from <= fault.to;
+      });
+  return sent.ended + deadline_slack >= sent.due || machine_disturbed ||
          std::any_of(runs.begin(), runs.end(),
                      [&](const arrival* run) {
                        return run->broken_off || is_disturbed(seen, run->server, from, sent.ended);
                      });
 }
 
+/// In the last sixth of the grace time a server may still be at work on a request of the first
+/// seconds of the stop.
+bool outlasts_grace(const attempt& sent, const std::vector<const arrival*>& runs,
+                    const planned_stop& stop, const rule_bounds& bounds)
+{
+  constexpr double unknowing_s = 3;
+  const moment last_sixth = stop.first_asked + bounds.stop_grace * 5 / 6;
+  return sent.sent <= stop.first_asked + unknowing_s &&
+         std::any_of(runs.begin(), runs.end(), [last_sixth](const arrival* run)
+                     { return run->ran && (run->ended == 0 || run->ended >= last_sixth); });
+}
+
+bool is_cut_by_stop(const history& seen, const attempt& sent,
+                    const std::vector<const arrival*>& runs, const rule_bounds& bounds)
+{
+  const auto around = [&](const planned_stop& stop)
+  {
+    return stop.machine == sent.machine && stop.asked <= sent.ended &&
+           sent.ended <= stop.asked + bounds.stop_grace + 1;
+  };
+  return std::any_of(seen.stops.begin(), seen.stops.end(), around) &&
+         std::none_of(seen.stops.begin(), seen.stops.end(), [&](const planned_stop& stop)
+                      { return around(stop) && outlasts_grace(sent, runs, stop, bounds); });
+}
+
+bool is_cut_by_reload(const history& seen, const attempt& sent, const rule_bounds& bounds)
+{
+  return std::any_of(seen.reloads.begin(), seen.reloads.end(),
+                     [&](const reload& asked)
+                     {
+                       return asked.machine == sent.machine && asked.at <= sent.ended &&
+                              sent.sent <= asked.at + bounds.config_apply;
+                     });
+}
+
+bool is_beside_config(const history& seen, moment at, const rule_bounds& bounds)
+{
+  return std::any_of(seen.configs.begin(), seen.configs.end(),
+                     [&](const config_change& config)
+                     {
+                       return config.sent <= at &&
+                              (config.acknowledged == 0 ||
+                               at <= config.acknowledged + bounds.config_apply + 1);
+                     });
+}
+
 std::vector<violation> find_cut_requests(const history& seen, const rule_bounds& bounds)
 {
+  // Beside a configuration, cuts count that are this many times as frequent as otherwise.
+  constexpr double config_excess = 3;
+  constexpr double config_used_share = 0.7;
+  constexpr std::size_t tolerated_closes = 3;
   std::vector<violation> out;
-  const auto runs = index_runs(seen);
-  for (const planned_stop& stop : seen.stops)
+  std::map<std::string, std::vector<const attempt*>> beside_configs;
+  std::map<std::string, double> elsewhere;
+  std::vector<const attempt*> closed;
+  const auto arrivals = index_arrivals(seen);
+  static const std::vector<const arrival*> none;
+  for (const attempt& sent : seen.attempts)
   {
-    for (const attempt& sent : seen.attempts)
+    const auto found = arrivals.find(sent.id);
+    const auto& runs = found == arrivals.end() ? none : found->second;
+    if (!is_cut(sent, !runs.empty(), bounds) || is_excused(seen, sent, runs, bounds))
     {
-      const bool concerned = sent.machine == stop.machine && !sent.gave_up &&
-                             sent.ended >= stop.asked &&
-                             sent.ended <= stop.asked + bounds.stop_grace + 1 &&
-                             sent.sent <= stop.asked + bounds.stability_window;
-      const bool cut = sent.answer == answer_state::none || sent.answer == answer_state::cut;
-      const auto run = runs.find(sent.id);
-      if (concerned && cut && run != runs.end() && !is_excused(seen, sent, run->second, bounds))
-      {
-        out.push_back({"LOST", describe(sent) + " was cut off in a planned stop"});
-      }
+      continue;
+    }
+    if (is_cut_by_stop(seen, sent, runs, bounds))
+    {
+      out.push_back({"LOST", describe(sent) + ", ended at " + std::to_string(sent.ended) +
+                                 ", was cut off in a planned stop"});
+    }
+    else if (is_cut_by_reload(seen, sent, bounds))
+    {
+      out.push_back({"LOST", describe(sent) + " was cut off at a reload"});
+    }
+    else if (sent.ended - sent.sent < config_used_share * (sent.due - sent.sent) &&
+             is_beside_config(seen, sent.ended, bounds))
+    {
+      beside_configs[sent.machine].push_back(&sent);
+    }
+    else
+    {
+      elsewhere[sent.machine] += 1;
+    }
+    const bool unanswered = sent.answer == answer_state::none && sent.answered == 0;
+    if (sent.on_kept_connection && unanswered && !runs.empty() &&
+        in_touch(seen, sent.machine, sent.ended, bounds))
+    {
+      closed.push_back(&sent);
+    }
+  }
+  for (const auto& [machine, cut] : beside_configs)
+  {
+    // Without times of either kind the counts are compared, which is stricter beside long ones.
+    if (static_cast<double>(cut.size()) > config_excess * elsewhere[machine])
+    {
+      out.push_back({"LOST", describe(*cut.front()) + " was cut off beside a configuration"});
     }
+  }
+  if (closed.size() > tolerated_closes)
+  {
+    out.push_back({"LOST", describe(*closed.front()) + " and " + std::to_string(closed.size() - 1) +
+                               " others were passed on and their kept connections closed"});
+  }
+  for (const planned_stop& stop : seen.stops)
+  {
     if (!stop.in_grace)
     {
       out.push_back({"LOST", stop.machine + " did not end within the grace time of its stop at " +
--- a/Source/Emulator/Checks.h
+++ b/Source/Emulator/Checks.h
@@ -20,6 +20,8 @@
   double weight_version = 8;
   double recovery = 12;
   double stop_grace = 8;
+  /// A request that was read may be left without an answer if its connection ends this soon.
+  double loss_slack = 0.2;
   /// After the caller has closed, a request may still be on its way for this long.
   double cancel_slack = 0.5;
   double budget_window = 10;
--- a/Source/Emulator/FaultInjector.cpp
+++ b/Source/Emulator/FaultInjector.cpp
@@ -87,6 +87,7 @@
     {fault_kind::load_disturbed, &fault_injector::disturb_load},
     {fault_kind::server_limited, &fault_injector::limit_server},
     {fault_kind::store_restored, &fault_injector::restore_store},
+    {fault_kind::stop_series, &fault_injector::stop_series},
 };
 
 fault_injector::fault_injector(async_io::event_loop& loop, platform_run& run,
@@ -169,6 +170,42 @@
   m_run.processes().stop(choose(fault, 0).front().name);
 }
 
+void fault_injector::stop_series(const planned_fault& fault)
+{
+  constexpr double longest_gap_s = 0.8;
+  constexpr double agents_share = 0.25;
+  constexpr double again_share = 0.5;
+  constexpr double reload_share = 0.5;
+  constexpr double reload_before_s = 1;
+  constexpr double within_stop_s = 6;
+  std::mt19937_64 random(fault.choice);
+  std::uniform_real_distribution<double> fraction(0, 1);
+  const double gap = longest_gap_s * fraction(random);
+  std::vector<machine> targets = choose(fault, fault.share, process_role::entry);
+  if (fraction(random) < agents_share)
+  {
+    const auto agents = choose(fault, fault.share / 2, process_role::agent);
+    targets.insert(targets.end(), agents.begin(), agents.end());
+    std::shuffle(targets.begin(), targets.end(), random);
+  }
+  double at = reload_before_s;
+  for (const machine& target : targets)
+  {
+    const auto stop = [this, name = target.name] { m_run.processes().stop(name); };
+    after(at, stop);
+    while (fraction(random) < again_share)
+    {
+      after(at + within_stop_s * fraction(random), stop);
+    }
+    if (fraction(random) < reload_share)
+    {
+      after(at - reload_before_s + (within_stop_s + reload_before_s) * fraction(random),
+            [this, name = target.name] { m_run.processes().reload(name); });
+    }
+    at += gap;
+  }
+}
+
 void fault_injector::pause_process(const planned_fault& fault)
 {
   for (const machine& target : choose(fault, fault.share / 2))
--- a/Source/Emulator/FaultPlan.cpp
+++ b/Source/Emulator/FaultPlan.cpp
@@ -49,7 +49,7 @@
   unsigned weight;
 };
 
-constexpr std::array<named_fault, 33> faults = {{
+constexpr std::array<named_fault, 34> faults = {{
     {fault_kind::kill_processes, "kill_processes", 4},
     {fault_kind::kill_all, "kill_all", 0},
     {fault_kind::stop_process, "stop_process", 4},
@@ -83,6 +83,7 @@
     {fault_kind::store_restored, "store_restored", 0},
     {fault_kind::server_limited, "server_limited", 0},
     {fault_kind::load_disturbed, "load_disturbed", 0},
+    {fault_kind::stop_series, "stop_series", 0},
 }};
 
 } // namespace
@@ -208,4 +209,41 @@
   return plan;
 }
 
+std::vector<planned_fault> draw_stop_plan(std::uint64_t seed, double duration)
+{
+  struct recurring
+  {
+    fault_kind kind;
+    double mean_gap_s;
+  };
+  // A series lasts up to the grace time, so that several overlap.
+  constexpr std::array<recurring, 8> work = {{{fault_kind::stop_series, 4},
+                                              {fault_kind::reload_process, 4},
+                                              {fault_kind::config_series, 4},
+                                              {fault_kind::burst, 5},
+                                              {fault_kind::new_weights, 10},
+                                              {fault_kind::long_config, 20},
+                                              {fault_kind::server_wants_pause, 6},
+                                              {fault_kind::server_silent, 6}}};
+  constexpr double first_s = 1;
+  std::mt19937_64 random(seed);
+  std::uniform_real_distribution<double> fraction(0, 1);
+  std::vector<planned_fault> plan;
+  for (const recurring& one : work)
+  {
+    std::exponential_distribution<double> gap(1 / one.mean_gap_s);
+    for (double at = first_s + gap(random); at < duration - quiet_end_s; at += gap(random))
+    {
+      plan.push_back({.kind = one.kind,
+                      .at = at,
+                      .duration = min_duration_s + fraction(random) * max_duration_s,
+                      .share = fraction(random),
+                      .choice = random()});
+    }
+  }
+  std::stable_sort(plan.begin(), plan.end(),
+                   [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+  return plan;
+}
+
 } // namespace pollenyoke::emulator
--- a/Source/Emulator/FaultPlan.h
+++ b/Source/Emulator/FaultPlan.h
@@ -49,6 +49,8 @@
   /// An agent stands still, or its engine falls silent, while it reads staged pieces back; some of
   /// them turn bad.
   load_disturbed,
+  /// Processes get SIGTERM one after the other, some of them again, and SIGHUP around it.
+  stop_series,
 };
 
 struct planned_fault
@@ -68,5 +70,8 @@
 /// Draws the faults of a run; the same seed gives the same plan. Each run ends with a quiet time;
 /// some runs lose all processes before it.
 std::vector<planned_fault> draw_plan(std::uint64_t seed, double duration);
+/// Draws planned work only: series of stops that overlap, beside changes of the configuration and
+/// of weights, servers that leave or want pauses, and more requests than the servers can take.
+std::vector<planned_fault> draw_stop_plan(std::uint64_t seed, double duration);
 
 } // namespace pollenyoke::emulator
--- a/Source/Emulator/History.h
+++ b/Source/Emulator/History.h
@@ -42,6 +42,7 @@
   request_kind kind = request_kind::idempotent;
   std::string key;
   std::string team;
+  /// When its last byte was sent.
   moment sent = 0;
   moment ended = 0;
   /// Latest moment at which the caller or the route's time limit allows an answer.
@@ -59,6 +60,12 @@
   moment answered = 0;
   /// Sent to one machine to learn which configuration is in force there.
   bool is_probe = false;
+  /// Sent on a connection that had been used before.
+  bool on_kept_connection = false;
+  /// The connection ended with a reset: the process may not have read the request.
+  bool reset = false;
+  /// Sent behind a request whose answer said that the connection closes.
+  bool behind_last_answer = false;
 };
 
 /// A request that reached a backend server.
@@ -135,6 +142,8 @@
   moment to = 0;
   /// The process of a machine was stopped or paused.
   bool of_process = false;
+  /// Part of a planned stop: excuses no request that the stop cuts.
+  bool planned = false;
 };
 
 struct process_start
@@ -151,6 +160,7 @@
   std::string reason;
 };
 
+/// A SIGTERM. A process may get several.
 struct planned_stop
 {
   std::string machine;
@@ -158,6 +168,15 @@
   /// 0 while the process runs.
   moment ended = 0;
   bool in_grace = true;
+  /// When the first SIGTERM of this process was sent; its grace time counts from then.
+  moment first_asked = 0;
+};
+
+/// A SIGHUP.
+struct reload
+{
+  std::string machine;
+  moment at = 0;
 };
 
 struct memory_peak
@@ -181,6 +200,7 @@
   std::vector<process_start> starts;
   std::vector<process_crash> crashes;
   std::vector<planned_stop> stops;
+  std::vector<reload> reloads;
   std::vector<memory_peak> memory;
   /// When all processes ran again after all of them had been killed.
   std::vector<moment> recoveries;
--- a/Source/Emulator/Main.cpp
+++ b/Source/Emulator/Main.cpp
@@ -42,8 +42,8 @@
   --templates DIR    Templates of its settings [default: deploy].
   --work DIR         Folder for settings and logs [default: /tmp/pollenyoke-emulator].
   --seed N           Seed of everything that is drawn [default: 1].
-  --plan PLAN        Faults that are drawn: mixed, or loads (disturbances at the steps of loads)
-                     [default: mixed].
+  --plan PLAN        Faults that are drawn: mixed, loads (disturbances at the steps of loads), or
+                     stops (planned stops in series) [default: mixed].
   --duration S       Seconds with callers [default: 60].
   --processes N      Processes of the system, a third of them entries.
   --log-level LEVEL  Lowest level of this program's own log lines [default: warning].
@@ -98,12 +98,16 @@
     return fail(error_code::invalid_argument, seed ? "--duration: " + duration.error().message
                                                    : "--seed: " + seed.error().message);
   }
-  const std::string plan = given.at("--plan").asString();
-  if (plan != "mixed" && plan != "loads")
+  static const std::map<std::string, emulator::soak_plan> plans = {
+      {"mixed", emulator::soak_plan::mixed},
+      {"loads", emulator::soak_plan::loads},
+      {"stops", emulator::soak_plan::stops}};
+  const auto plan = plans.find(given.at("--plan").asString());
+  if (plan == plans.end())
   {
-    return fail(error_code::invalid_argument, "--plan: must be mixed or loads");
+    return fail(error_code::invalid_argument, "--plan: must be mixed, loads or stops");
   }
-  out.plan = plan == "loads" ? emulator::soak_plan::loads : emulator::soak_plan::mixed;
+  out.plan = plan->second;
   out.run.seed = *seed;
   out.duration = *duration;
   return out;
--- a/Source/Emulator/PlatformRun.cpp
+++ b/Source/Emulator/PlatformRun.cpp
@@ -1,8 +1,10 @@
 #include "Emulator/PlatformRun.h"
 
 #include <algorithm>
+#include <array>
 #include <filesystem>
 #include <fstream>
+#include <random>
 
 #include <nlohmann/json.hpp>
 
@@ -56,6 +58,7 @@
             m_callers = std::make_unique<caller_pool>(m_loop, m_record, m_deployment, m_layout,
                                                       *m_operator, m_options.seed);
             m_callers->start();
+            start_kept_connections();
             m_delay_due = std::chrono::steady_clock::now() + delay_check_interval;
             watch_delay();
           });
@@ -241,6 +244,27 @@
   return static_cast<double>(m_origin->sent_bytes()) / copy / static_cast<double>(named);
 }
 
+void platform_run::start_kept_connections()
+{
+  constexpr std::array<caller_habits, 4> habits = {
+      {{.form = body_form::with_length},
+       {.form = body_form::in_chunks},
+       {.form = body_form::in_chunks, .pipelined = 3},
+       {.form = body_form::with_length, .pipelined = 2, .reads_slowly = true}}};
+  std::mt19937_64 random(m_options.seed);
+  for (const machine& host : m_layout.machines)
+  {
+    for (unsigned i = 0; host.role == protocol::process_role::entry && i < m_options.kept_connections;
+         ++i)
+    {
+      m_kept_connections.push_back(std::make_unique<kept_connection_caller>(
+          m_loop, m_record, host.name, callers_address(host), habits[i % habits.size()],
+          [this] { return m_callers->draw_request(); }, random()));
+      m_kept_connections.back()->start();
+    }
+  }
+}
+
 void platform_run::watch_delay()
 {
   const auto now = std::chrono::steady_clock::now();
@@ -253,6 +277,10 @@
 void platform_run::stop_callers()
 {
   m_callers->stop();
+  for (const auto& caller : m_kept_connections)
+  {
+    caller->stop();
+  }
 }
 
 void platform_run::shut_down()
--- a/Source/Emulator/PlatformRun.h
+++ b/Source/Emulator/PlatformRun.h
@@ -11,6 +11,7 @@
 #include "Emulator/Deployment.h"
 #include "Emulator/EngineWork.h"
 #include "Emulator/FleetOperator.h"
+#include "Emulator/KeptConnectionCaller.h"
 #include "Emulator/PlainWork.h"
 #include "Emulator/ProcessFleet.h"
 #include "Emulator/StoreService.h"
@@ -30,6 +31,8 @@
   std::uint64_t seed = 1;
   /// Of the hosts with engines, those at the end that join later, without weights.
   std::size_t late_hosts = 0;
+  /// Callers that stay with one entry, for each of them.
+  unsigned kept_connections = 0;
 };
 
 /// The emulated platform and the processes of the system on it.
@@ -102,6 +105,7 @@
   result<void> start_proxies();
   result<void> start_processes();
   result<void> start_process(const machine& host);
+  void start_kept_connections();
   void watch_delay();
 
   async_io::event_loop& m_loop;
@@ -120,6 +124,7 @@
   std::vector<machine> m_late_hosts;
   process_fleet m_processes;
   std::unique_ptr<caller_pool> m_callers;
+  std::vector<std::unique_ptr<kept_connection_caller>> m_kept_connections;
   async_io::timer m_delay_timer;
   async_io::time_point m_delay_due{};
   std::chrono::milliseconds m_longest_delay{0};
--- a/Source/Emulator/ProcessFleet.cpp
+++ b/Source/Emulator/ProcessFleet.cpp
@@ -75,10 +75,10 @@
   {
     return;
   }
-  const bool was_stop = of.stop.has_value();
-  if (was_stop)
+  const bool was_stop = !of.stops.empty();
+  for (const std::size_t stop : of.stops)
   {
-    m_record.seen().stops[*of.stop].ended = m_record.now();
+    m_record.seen().stops[stop].ended = m_record.now();
   }
   // A process that is told to stop before it has begun may end as any program does.
   const bool young = m_record.now() - of.started_at < begin_time_s;
@@ -90,7 +90,8 @@
     m_record.seen().crashes.push_back({machine, m_record.now(), reason});
   }
   begin_disturbance(machine, of);
-  of.stop.reset();
+  m_record.seen().disturbances[*of.disturbance].planned = was_stop && stopped_in_order;
+  of.stops.clear();
   of.paused = false;
   m_later.after(restart_delay, [this, machine, &of] { start(machine, of); });
 }
@@ -156,28 +157,37 @@
 void process_fleet::stop(const std::string& machine)
 {
   member& target = m_members.at(machine);
-  if (!target.process->is_running() || target.stop || target.end_expected)
+  const bool stops_already = !target.stops.empty();
+  if (!target.process->is_running() || (target.end_expected && !stops_already))
   {
     return;
   }
+  auto& stops = m_record.seen().stops;
+  const moment now = m_record.now();
+  const moment first = stops_already ? stops[target.stops.front()].asked : now;
   target.end_expected = true;
-  target.stop = m_record.seen().stops.size();
-  m_record.seen().stops.push_back({machine, m_record.now()});
+  target.stops.push_back(stops.size());
+  stops.push_back({machine, now, 0, true, first});
   target.process->signal(SIGTERM);
-  m_later.after(duration_cast<nanoseconds>(duration<double>(m_bounds.stop_grace)),
-                [this, machine, stop = *target.stop] { enforce_grace(machine, stop); });
+  if (!stops_already)
+  {
+    m_later.after(duration_cast<nanoseconds>(duration<double>(m_bounds.stop_grace)),
+                  [this, machine, stop = target.stops.front()] { enforce_grace(machine, stop); });
+  }
 }
 
 void process_fleet::enforce_grace(const std::string& machine, std::size_t stop)
 {
   member& target = m_members.at(machine);
-  if (target.stop != stop || !target.process->is_running())
+  if (target.stops.empty() || target.stops.front() != stop || !target.process->is_running())
   {
     return;
   }
   // A process that was paused meanwhile may need longer.
   m_record.seen().stops[stop].in_grace = target.paused || target.disturbance.has_value();
+  const bool is_planned = !target.disturbance.has_value();
   begin_disturbance(machine, target);
+  m_record.seen().disturbances[*target.disturbance].planned = is_planned;
   target.process->signal(SIGKILL);
 }
 
@@ -210,7 +220,12 @@
 
 void process_fleet::reload(const std::string& machine)
 {
-  m_members.at(machine).process->signal(SIGHUP);
+  member& target = m_members.at(machine);
+  if (target.process->is_running())
+  {
+    m_record.seen().reloads.push_back({machine, m_record.now()});
+    target.process->signal(SIGHUP);
+  }
 }
 
 void process_fleet::shut_down()
--- a/Source/Emulator/ProcessFleet.h
+++ b/Source/Emulator/ProcessFleet.h
@@ -26,7 +26,8 @@
   void start_watching();
   void kill(const std::string& machine);
   void kill_all();
-  /// A planned stop; a process that does not end within the grace time is killed.
+  /// Sends SIGTERM, also to a process that stops already. A process that does not end within the
+  /// grace time of the first one is killed.
   void stop(const std::string& machine);
   void pause(const std::string& machine, std::chrono::nanoseconds time);
   void reload(const std::string& machine);
@@ -41,7 +42,8 @@
     bool end_expected = false;
     bool paused = false;
     moment started_at = 0;
-    std::optional<std::size_t> stop;
+    /// Numbers of the SIGTERMs that the process got.
+    std::vector<std::size_t> stops;
     std::optional<std::size_t> disturbance;
     std::uint64_t peak_bytes = 0;
   };
--- a/Source/Emulator/SelfCheck.cpp
+++ b/Source/Emulator/SelfCheck.cpp
@@ -172,14 +172,56 @@
 
 void cut_in_stop(history& seen)
 {
-  seen.stops.push_back({"entry-a-1", 20, 23, true});
+  seen.stops.push_back({"entry-a-1", 19, 23, true, 19});
   seen.attempts.front().answer = answer_state::cut;
   seen.attempts.front().ended = 20.2;
 }
 
+/// The request came in the first seconds of the stop, and its server was done well before the end
+/// of the grace time; a second SIGTERM had come.
+void cut_after_second_signal(history& seen)
+{
+  seen.stops.push_back({"entry-a-1", 17, 20.3, true, 17});
+  seen.stops.push_back({"entry-a-1", 20, 20.3, true, 17});
+  seen.attempts.front().answer = answer_state::cut;
+  seen.attempts.front().ended = 20.2;
+}
+
+/// The connection ended in order, and no server got the request.
+void close_without_answer(history& seen)
+{
+  seen.stops.push_back({"entry-a-1", 20, 23, true, 20});
+  attempt read = make_attempt("read", 20.5, request_kind::idempotent);
+  read.answer = answer_state::none;
+  read.status = 0;
+  read.ended = 20.8;
+  seen.attempts.push_back(read);
+}
+
+void cut_at_reload(history& seen)
+{
+  seen.reloads.push_back({"entry-a-1", 18});
+  seen.attempts.front().answer = answer_state::cut;
+}
+
+void cut_beside_config(history& seen)
+{
+  seen.configs.push_back({3, 19, 19.05, {"stock", "added"}, {"key-1"}});
+  seen.attempts.front().answer = answer_state::cut;
+}
+
+void close_kept_connections(history& seen)
+{
+  for (unsigned i = 0; i < 4; ++i)
+  {
+    seen.attempts[i].answer = answer_state::none;
+    seen.attempts[i].on_kept_connection = true;
+  }
+}
+
 void exceed_grace(history& seen)
 {
-  seen.stops.push_back({"entry-a-1", 25, 33, false});
+  seen.stops.push_back({"entry-a-1", 25, 33, false, 25});
 }
 
 void send_after_close(history& seen)
@@ -232,7 +274,7 @@
   seen.memory.push_back({"entry-a-1", 200, 100});
 }
 
-constexpr std::array<altered_history, 24> alterations = {{
+constexpr std::array<altered_history, 29> alterations = {{
     {"a request that runs once ran twice", "TWICE", "repeated runs", repeat_run},
     {"an answer belongs to another request", "MIXED", "wrong answers", mix_answer},
     {"a refused request ran", "REFUSED", "false refusals", refuse_falsely},
@@ -252,6 +294,15 @@
     {"an older version is still used", "VERSION", "old weights", use_old_weights},
     {"weights were not whole", "WHOLE", "spoilt weights", load_spoilt_weights},
     {"a planned stop cut a request", "LOST", "requests cut off in a stop", cut_in_stop},
+    {"a second signal cut a request", "LOST", "requests cut off in a stop",
+     cut_after_second_signal},
+    {"a stop closed a connection without an answer", "LOST", "requests cut off in a stop",
+     close_without_answer},
+    {"a reload cut a request", "LOST", "requests cut off in a stop", cut_at_reload},
+    {"a new configuration cut a request", "LOST", "requests cut off in a stop",
+     cut_beside_config},
+    {"kept connections were closed without answers", "LOST", "requests cut off in a stop",
+     close_kept_connections},
     {"a planned stop took too long", "LOST", "requests cut off in a stop", exceed_grace},
     {"requests arrive for callers that left", "GONE", "work for callers that left",
      send_after_close},
--- a/Source/Emulator/Soak.cpp
+++ b/Source/Emulator/Soak.cpp
@@ -89,8 +89,9 @@
     }
     else
     {
+      const auto draw = m_options.plan == soak_plan::stops ? draw_stop_plan : draw_plan;
       m_injector = std::make_unique<fault_injector>(
-          m_loop, m_run, draw_plan(m_options.run.seed, m_options.duration));
+          m_loop, m_run, draw(m_options.run.seed, m_options.duration));
       m_injector->start();
     }
     m_later.after(report_interval, [this] { report_progress(); });
@@ -199,6 +200,11 @@
       out.refused += whole && sent.status == 503 ? 1U : 0U;
       out.gave_up += sent.gave_up ? 1U : 0U;
     }
+    for (const planned_stop& stop : seen.stops)
+    {
+      ++out.stops;
+      out.repeated_stops += stop.asked > stop.first_asked ? 1U : 0U;
+    }
     if (!m_options.faults)
     {
       forget_requests_of_others();
@@ -250,8 +256,17 @@
 result<soak_report> run_soak(const deployment& what, const soak_options& options)
 {
   soak_options chosen = options;
+  deployment emulated = what;
   chosen.run.late_hosts = options.faults && options.plan == soak_plan::loads ? 1 : 0;
-  return soak(what, chosen).execute();
+  if (options.faults && options.plan == soak_plan::stops)
+  {
+    // Streams of up to 5 s, so that many are in progress when a process stops.
+    constexpr double slow_step_ms = 45;
+    constexpr unsigned kept_connections_per_entry = 8;
+    emulated.engine.step_ms = slow_step_ms;
+    chosen.run.kept_connections = kept_connections_per_entry;
+  }
+  return soak(emulated, chosen).execute();
 }
 
 std::string to_json(const soak_report& report)
@@ -267,6 +282,8 @@
       {"faults", report.faults},
       {"origin_copies", report.origin_copies},
       {"longest_delay_ms", report.longest_delay_ms},
+      {"stops", report.stops},
+      {"repeated_stops", report.repeated_stops},
       {"leaving_s",
        {{"store_up", report.leaving.store_up},
         {"store_disturbed", report.leaving.store_disturbed}}},
--- a/Source/Emulator/Soak.h
+++ b/Source/Emulator/Soak.h
@@ -28,6 +28,8 @@
   mixed,
   /// Disturbances at the steps of loads.
   loads,
+  /// Planned stops in series, and other planned work beside them.
+  stops,
 };
 
 struct soak_options
@@ -67,6 +69,9 @@
   std::vector<violation> violations;
   leaving_times leaving;
   limit_use limits;
+  /// SIGTERMs, and those of them that reached a process that stopped already.
+  std::size_t stops = 0;
+  std::size_t repeated_stops = 0;
   /// Empty unless loads were to be disturbed.
   std::optional<load_counts> loads;
 };
