Node: a second SIGTERM does not cut a planned stop

A second SIGTERM stopped the loop of an entry at once, with all requests in progress. Nothing on the platform's pages says that a stop comes once, and series of stops that overlap send several.

The stop now goes on as it began; only a second SIGINT, from a person at a terminal, ends the process at once. Signals are handled before the entry listens.

Node.StopSignals fails without the change (begin_stop was end_now for any second signal).

--- a/Source/Core/AsyncIo/EventLoop.cpp
+++ b/Source/Core/AsyncIo/EventLoop.cpp
@@ -19,13 +19,20 @@
 // Large enough for a whole weight piece or a full configuration in one system call.
 constexpr std::size_t scratch_bytes = 65536;
 
+process_signal to_signal(int number)
+{
+  return number == SIGHUP   ? process_signal::reload
+         : number == SIGINT ? process_signal::interrupt
+                            : process_signal::terminate;
+}
+
 } // namespace
 
 struct event_loop::state
 {
   boost::asio::io_context context{1};
   boost::asio::signal_set signals{context};
-  std::function<void(bool)> signal_handler;
+  std::function<void(process_signal)> signal_handler;
   std::vector<char> scratch = std::vector<char>(scratch_bytes);
 
   void wait_for_signal()
@@ -37,7 +44,7 @@
           {
             return;
           }
-          signal_handler(number != SIGHUP);
+          signal_handler(to_signal(number));
           wait_for_signal();
         });
   }
@@ -65,7 +72,7 @@
   boost::asio::post(m_state->context, std::move(work));
 }
 
-void event_loop::watch_signals(std::function<void(bool)> handler)
+void event_loop::watch_signals(std::function<void(process_signal)> handler)
 {
   m_state->signal_handler = std::move(handler);
   m_state->signals.add(SIGTERM);
--- a/Source/Core/AsyncIo/EventLoop.h
+++ b/Source/Core/AsyncIo/EventLoop.h
@@ -15,6 +15,16 @@
 
 using time_point = std::chrono::steady_clock::time_point;
 
+enum class process_signal
+{
+  /// SIGTERM.
+  terminate,
+  /// SIGINT.
+  interrupt,
+  /// SIGHUP.
+  reload,
+};
+
 /// Runs the I/O of one process on one thread. Every callback of this module runs on that thread.
 class event_loop
 {
@@ -30,8 +40,7 @@
   void stop();
   /// Runs `work` after the current callback.
   void post(std::function<void()> work);
-  /// Calls `handler` for each SIGTERM, SIGINT (true) and SIGHUP (false).
-  void watch_signals(std::function<void(bool stop)> handler);
+  void watch_signals(std::function<void(process_signal)> handler);
 
   boost::asio::io_context& context();
   /// Receive buffer that all sockets share; its contents are valid during one callback.
--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -45,9 +45,9 @@
       return started;
     }
     m_loop.watch_signals(
-        [this](bool stop)
+        [this](async_io::process_signal signal)
         {
-          if (stop)
+          if (signal != async_io::process_signal::reload)
           {
             log_info(log_category::process, "planned stop");
             m_peers.set_leaving();
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -9,6 +9,7 @@
 #include "Node/OperatorRecords.h"
 #include "Node/PeerService.h"
 #include "Node/ProcessMonitor.h"
+#include "Node/StopSignals.h"
 #include "Peers/LookupOrder.h"
 #include "Rollout/PieceRelay.h"
 #include "Rollout/SettleRule.h"
@@ -71,6 +72,8 @@
 
   result<void> run()
   {
+    m_loop.watch_signals([this](async_io::process_signal signal) { handle_signal(signal); });
+    m_monitor.start();
     auto started = m_peers.start()
                        .and_then([this] { return m_readiness.listen(*m_settings.readiness); })
                        .and_then([this] { return m_lookup.listen(*m_settings.lookup); })
@@ -79,17 +82,6 @@
     {
       return started;
     }
-    m_loop.watch_signals(
-        [this](bool stop)
-        {
-          if (stop)
-          {
-            begin_stop();
-            return;
-          }
-          log_info(log_category::process, "reload requested; settings apply at the next start");
-        });
-    m_monitor.start();
     m_loop.run();
     return {};
   }
@@ -258,14 +250,28 @@
                                      std::min(lookup_lifetime, m_settings.lookup_lifetime_limit))});
   }
 
-  void begin_stop()
+  void handle_signal(async_io::process_signal signal)
   {
-    if (m_stopping)
+    switch (m_signals.take(signal))
     {
+    case signal_action::note_reload:
+      log_info(log_category::process, "reload requested; settings apply at the next start");
+      return;
+    case signal_action::begin_stop:
+      begin_stop();
+      return;
+    case signal_action::ignore:
+      log_info(log_category::process, "planned stop goes on: the signal came again");
+      return;
+    case signal_action::end_now:
+      log_warning(log_category::process, "ended at once by a second interrupt");
       m_loop.stop();
       return;
     }
-    m_stopping = true;
+  }
+
+  void begin_stop()
+  {
     log_info(log_category::process, "planned stop");
     m_peers.set_leaving();
     m_gateway.stop([this] { m_loop.stop(); });
@@ -285,7 +291,7 @@
   async_io::http_listener m_readiness;
   async_io::http_listener m_lookup;
   std::mt19937_64 m_random{std::random_device{}()};
-  bool m_stopping = false;
+  stop_signals m_signals;
 };
 
 } // namespace
--- a/Source/Daemon/NodeMain.cpp
+++ b/Source/Daemon/NodeMain.cpp
@@ -36,7 +36,7 @@
   -h --help                 Show this text.
 
 SIGTERM is a planned stop: the process leaves the lookup answers, serves on for some seconds,
-finishes what is in progress and ends. A second SIGTERM ends it at once.
+finishes what is in progress and ends; further ones change nothing. A second SIGINT ends it at once.
 )";
 
 int run_with_file(const std::string& path, bool check_only)
--- a/Source/Emulator/History.h
+++ b/Source/Emulator/History.h
@@ -64,7 +64,8 @@
   bool on_kept_connection = false;
   /// The connection ended with a reset: the process may not have read the request.
   bool reset = false;
-  /// Sent behind a request whose answer said that the connection closes.
+  /// Sent behind a request whose answer said that the connection closes, or that was cut: HTTP can
+  /// show the latter only by closing.
   bool behind_last_answer = false;
 };
 
--- a/Source/Emulator/KeptConnectionCaller.cpp
+++ b/Source/Emulator/KeptConnectionCaller.cpp
@@ -263,14 +263,17 @@
   m_socket = -1;
   const bool was_connected = m_connected;
   m_connected = false;
+  bool is_behind_cut = false;
   for (sent_request& pending : m_pending)
   {
     attempt& sent = m_record.attempt_at(pending.attempt);
+    sent.behind_last_answer = sent.behind_last_answer || is_behind_cut;
     pending.answer.feed_end();
     sent.ended = m_record.now();
     sent.answer = pending.answer.state();
     sent.problem = sent.answer == answer_state::wrong ? pending.answer.problem() : "";
     sent.reset = reset || !pending.whole_sent || !was_connected;
+    is_behind_cut = is_behind_cut || sent.answer == answer_state::cut;
   }
   m_pending.clear();
   m_next_at = m_record.now() + draw_pause(mean_reconnect_s);
