Node: the times of a planned stop count from when SIGTERM may have been sent

The platform kills a process a fixed time after it has sent SIGTERM, and the rule on lost requests counts from there too; the entry counted from when it handled the signal.

The process monitor, which checks the loop every 100 ms, knows how old a signal can be at most; the stop begins that much earlier, and `planned stop` says so (signal_age_ms_at_most).

Test: Gateway.PlannedStop, age_of_the_signal_counts.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -234,9 +234,9 @@
   return m_context.routes != nullptr && !m_context.stop_started;
 }
 
-void gateway::stop(std::function<void()> done)
+void gateway::stop(std::function<void()> done, milliseconds signal_age)
 {
-  m_context.stop_started = current_time();
+  m_context.stop_started = current_time() - signal_age;
   m_on_stopped = std::move(done);
   check_stopped();
 }
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -54,7 +54,8 @@
   bool is_ready() const;
   /// Keeps serving until callers have learned of the stop, drains open requests and then calls
   /// `done`.
-  void stop(std::function<void()> done);
+  /// `signal_age`: the signal that began the stop may have been sent this long ago.
+  void stop(std::function<void()> done, std::chrono::milliseconds signal_age = {});
   std::string metrics_text() const;
 
 private:
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -272,9 +272,10 @@
 
   void begin_stop()
   {
-    log_info(log_category::process, "planned stop");
+    const auto age = m_monitor.longest_signal_age();
+    log_info(log_category::process, "planned stop", {{"signal_age_ms_at_most", age.count()}});
     m_peers.set_leaving();
-    m_gateway.stop([this] { m_loop.stop(); });
+    m_gateway.stop([this] { m_loop.stop(); }, age);
   }
 
   const protocol::node_settings& m_settings;
--- a/Source/Core/Node/ProcessMonitor.cpp
+++ b/Source/Core/Node/ProcessMonitor.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds check_interval{100};
 // A loop that is late by more than this delays answers by an amount that callers notice.
 constexpr milliseconds reported_delay{100};
+// Timers fire slightly late.
+constexpr milliseconds noticeable_delay{20};
 constexpr milliseconds traffic_interval{1000};
 // A link of 28 Mbit/s carries 3.5 MB a second; less than a tenth of it is not reported.
 constexpr std::uint64_t reported_bytes = 262'144;
@@ -30,6 +32,8 @@
 void process_monitor::start()
 {
   const auto now = current_time();
+  m_checked = now;
+  m_checked_before_delay = now;
   m_due = now + check_interval;
   m_traffic_due = now + traffic_interval;
   m_timer.start(check_interval, [this] { check(); });
@@ -48,10 +52,17 @@
     m_traffic_due = now + traffic_interval;
     report_traffic();
   }
+  m_checked_before_delay = delay > noticeable_delay ? m_checked : now;
+  m_checked = now;
   m_due = now + check_interval;
   m_timer.start(check_interval, [this] { check(); });
 }
 
+milliseconds process_monitor::longest_signal_age() const
+{
+  return std::chrono::duration_cast<milliseconds>(current_time() - m_checked_before_delay);
+}
+
 void process_monitor::report_traffic()
 {
   for (const auto& [purpose, total] : m_caller.received_bytes())
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -20,13 +21,22 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// A caller that reads its answer at about 1 MB/s, and closes when it has all of it or the gateway
-/// ends the connection.
+/// How a caller reads; by default at about 1 MB/s.
+struct reading_habits
+{
+  std::size_t bytes_per_turn = 12288;
+  /// Stops reading once it has begun to.
+  milliseconds pause{0};
+};
+
+/// A caller that reads its answer slowly, and closes when it has all of it or the gateway ends the
+/// connection.
 class slow_caller
 {
 public:
-  slow_caller(async_io::event_loop& loop, std::uint16_t port, const std::string& request)
-      : m_timer(loop), m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+  slow_caller(async_io::event_loop& loop, std::uint16_t port, const std::string& request,
+              const reading_habits& habits = {})
+      : m_timer(loop), m_socket(::socket(AF_INET, SOCK_STREAM, 0)), m_habits(habits)
   {
     const int receive_bytes = 65536;
     CPPUNIT_ASSERT_EQUAL(
@@ -63,18 +73,37 @@
   {
     return m_body;
   }
+  void send(std::string_view data)
+  {
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(data.size()),
+                         ::send(m_socket, data.data(), data.size(), MSG_NOSIGNAL));
+  }
+  void end_sending()
+  {
+    CPPUNIT_ASSERT_EQUAL(0, ::shutdown(m_socket, SHUT_WR));
+  }
+  /// Reads as fast as bytes come from now on.
+  void hurry()
+  {
+    m_habits.bytes_per_turn = m_buffer.size();
+  }
 
 private:
   static constexpr milliseconds read_interval{10};
 
   void read()
   {
-    std::array<char, 12288> buffer{};
-    const ssize_t received = ::recv(m_socket, buffer.data(), buffer.size(), 0);
+    const ssize_t received = ::recv(m_socket, m_buffer.data(), m_habits.bytes_per_turn, 0);
     if (received > 0)
     {
-      m_parser.feed({buffer.data(), static_cast<std::size_t>(received)});
+      m_parser.feed({m_buffer.data(), static_cast<std::size_t>(received)});
       m_body += m_parser.take_body();
+      // The first event is small; what follows fills the buffers.
+      if (received > 1024 && m_habits.pause > milliseconds(0))
+      {
+        m_timer.start(std::exchange(m_habits.pause, milliseconds(0)), [this] { read(); });
+        return;
+      }
     }
     m_ended = m_parser.is_complete() || received == 0 || (received < 0 && errno != EAGAIN);
     if (m_ended)
@@ -87,6 +116,8 @@
 
   async_io::timer m_timer;
   int m_socket;
+  reading_habits m_habits;
+  std::array<char, 131072> m_buffer{};
   async_io::http_parser m_parser{async_io::message_kind::response, {65536, 16U << 20U}};
   std::string m_body;
   bool m_ended = false;
@@ -170,6 +201,14 @@
   CPPUNIT_TEST(connection_is_not_idle_before_its_answer_is_sent);
   CPPUNIT_TEST(idle_timeout_does_not_cut_an_answer);
   CPPUNIT_TEST(request_that_may_outlast_the_process_is_refused);
+  CPPUNIT_TEST(request_without_an_answer_at_the_end_gets_one);
+  CPPUNIT_TEST(request_with_half_a_body_at_the_end_is_refused);
+  CPPUNIT_TEST(pipelined_request_is_answered_before_the_connection_closes);
+  CPPUNIT_TEST(pipelined_body_does_not_cut_the_request_in_progress);
+  CPPUNIT_TEST(caller_that_has_ended_its_sending_side_gets_its_answer);
+  CPPUNIT_TEST(caller_that_stops_reading_for_a_while_gets_its_answer);
+  CPPUNIT_TEST(bytes_behind_the_last_request_do_not_cut_its_answer);
+  CPPUNIT_TEST(age_of_the_signal_counts);
   CPPUNIT_TEST_SUITE_END();
 
   // More than the socket buffers hold, less than what the gateway keeps for a slow caller.
@@ -201,11 +240,12 @@
   }
 
   /// The slow caller sends a request; the server answers with the first event only.
-  void request_stream(std::uint16_t port, const std::string& extra_fields)
+  void request_stream(std::uint16_t port, const std::string& extra_fields,
+                      const reading_habits& habits = {})
   {
     script_all({{stream_head("r1") + encode_chunk(make_event(1, 1))}});
-    m_slow_caller =
-        std::make_unique<slow_caller>(m_loop, port, request("/stream/a", "r1", extra_fields));
+    m_slow_caller = std::make_unique<slow_caller>(
+        m_loop, port, request("/stream/a", "r1", extra_fields), habits);
     run_until([this] { return total_requests() == 1; });
     run_for(milliseconds(200));
   }
@@ -320,6 +360,117 @@
     run_until([this] { return m_stopped; });
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, total_requests());
   }
+
+  /// Guards against connections that are closed without an answer when the process ends.
+  void request_without_an_answer_at_the_end_gets_one()
+  {
+    m_settings.stop_grace = seconds(2);
+    send(request("/once/a", "r1"));
+    run_until([this] { return total_requests() == 1; });
+    stop();
+    const auto reply = wait_for_response();
+    CPPUNIT_ASSERT_EQUAL(502U, reply.head.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("close"), *reply.head.find("Connection"));
+    run_until([this] { return m_stopped; });
+  }
+
+  /// The same for a request that the process has not read whole: it has not run.
+  void request_with_half_a_body_at_the_end_is_refused()
+  {
+    m_settings.stop_grace = seconds(2);
+    const std::string whole = request("/once/a", "r1", "", std::string(100, 'b'));
+    send(whole.substr(0, whole.size() - 50));
+    run_for(milliseconds(200));
+    stop();
+    const auto reply = wait_for_response();
+    CPPUNIT_ASSERT_EQUAL(503U, reply.head.status);
+    run_until([this] { return m_stopped; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, total_requests());
+  }
+
+  /// Guards against requests that were read behind the one in progress and are dropped when its
+  /// answer says that the connection closes.
+  void pipelined_request_is_answered_before_the_connection_closes()
+  {
+    send(request("/safe/a", "r1") + request("/safe/b", "r2"));
+    run_until([this] { return total_requests() == 1; });
+    stop();
+    m_servers.front()->script = {{signed_response("r2", "second")}};
+    m_servers.front()->write(signed_response("r1", "first"));
+    CPPUNIT_ASSERT_EQUAL(std::string("first"), wait_for_response().body);
+    const auto second = wait_for_response();
+    CPPUNIT_ASSERT_EQUAL(std::string("second"), second.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("close"), *second.head.find("Connection"));
+  }
+
+  /// Guards against a limit on pipelined bytes that ends the connection, and with it the request in
+  /// progress.
+  void pipelined_body_does_not_cut_the_request_in_progress()
+  {
+    const std::string body(300000, 'b');
+    send(request("/safe/a", "r1"));
+    run_until([this] { return total_requests() == 1; });
+    send(request("/safe/b", "r2", "", body));
+    run_for(milliseconds(300));
+    m_servers.front()->script = {{signed_response("r2", "second")}};
+    m_servers.front()->write(signed_response("r1", "first"));
+    CPPUNIT_ASSERT_EQUAL(std::string("first"), wait_for_response().body);
+    CPPUNIT_ASSERT_EQUAL(std::string("second"), wait_for_response().body);
+    CPPUNIT_ASSERT(body == m_servers.front()->requests.back());
+  }
+
+  /// Guards against a caller that has ended its sending side being taken for one that left, when
+  /// only its answer has yet to be sent.
+  void caller_that_has_ended_its_sending_side_gets_its_answer()
+  {
+    request_stream(m_gateway->port(), "");
+    end_stream();
+    // The server is done by then, and the caller has read a small part.
+    run_for(milliseconds(1000));
+    m_slow_caller->end_sending();
+    check_whole_answer();
+  }
+
+  /// Guards against time limits for dead peers that hit a caller that does not read for a while.
+  void caller_that_stops_reading_for_a_while_gets_its_answer()
+  {
+    request_stream(m_gateway->port(), "", {.pause = milliseconds(3500)});
+    end_stream();
+    check_whole_answer();
+  }
+
+  /// Guards against a reset that discards the end of an answer on its way: the connection was
+  /// closed while the caller had yet to receive it, and the caller sent more.
+  void bytes_behind_the_last_request_do_not_cut_its_answer()
+  {
+    constexpr std::size_t slow_turn = 2048;
+    request_stream(m_gateway->port(), "Connection: close\r\n", {.bytes_per_turn = slow_turn});
+    // Small enough for the kernel to take all of it at once.
+    std::string events;
+    for (std::size_t id = 2; id <= event_count / 5; ++id)
+    {
+      events += make_event(id, event_bytes);
+    }
+    m_servers.front()->write(encode_chunk(events) + "0\r\n\r\n");
+    run_for(milliseconds(1500));
+    m_slow_caller->send(request("/stream/a", "r2"));
+    run_for(milliseconds(300));
+    m_slow_caller->hurry();
+    run_until([this] { return m_slow_caller->has_ended(); });
+    CPPUNIT_ASSERT(m_slow_caller->has_whole_answer());
+    CPPUNIT_ASSERT(make_event(1, 1) + events == m_slow_caller->body());
+  }
+
+  /// Guards against times of a stop that begin when a late process handles the signal.
+  void age_of_the_signal_counts()
+  {
+    m_settings.stop_grace = seconds(8);
+    m_gateway->stop([this] { m_stopped = true; }, milliseconds(3000));
+    send(request("/once/a", "r1"));
+    const auto reply = wait_for_response();
+    CPPUNIT_ASSERT_EQUAL(503U, reply.head.status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, total_requests());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(planned_stop_test, "Gateway.PlannedStop");
