AsyncIo: connections outlast callers that pause, read slowly or have ended their sending side

While nothing is on its way and bytes wait in the kernel, the limit is now 30 s. - A connection was closed 1 s after its last byte was handed to the kernel. A caller that still read, and sent another request, got a reset that discards what is on its way. It now lingers until the caller has acknowledged all bytes, 30 s at most. - A caller that ended its sending side while only queued bytes of its answer were left was taken for one that left. While its server is at work that stays so: it is how callers leave (GONE).

--- a/Source/Core/AsyncIo/TcpConnection.cpp
+++ b/Source/Core/AsyncIo/TcpConnection.cpp
@@ -2,13 +2,17 @@
 
 #include <deque>
 #include <optional>
+#include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include "Common/BootClock.h"
 #include "Common/Log.h"
 
 namespace pollenyoke::async_io
@@ -23,10 +27,13 @@
 // A peer without power neither answers nor resets. Unacknowledged bytes and probes that stay
 // without an answer this long end the connection; well under the request deadlines of seconds.
 constexpr int unacknowledged_timeout_ms = 2000;
+// The same for a peer that acknowledges all it is sent and has closed its window.
+constexpr int paused_peer_timeout_ms = 30000;
+constexpr std::chrono::milliseconds window_check_interval{500};
 constexpr int keepalive_idle_s = 2;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
-// After the last byte was sent the peer gets this long to close.
+// After it has received the last byte the peer gets this long to close.
 constexpr std::chrono::milliseconds linger_timeout{1000};
 // Limit for sending all that is queued when the connection closes: a peer may read nothing, or very
 // slowly.
@@ -45,6 +52,22 @@
   (void)::setsockopt(socket, level, name, &value, sizeof(value));
 }
 
+/// Bytes that the peer has not acknowledged, and those of them that have not been sent once.
+struct kernel_queue
+{
+  int unacknowledged = 0;
+  int unsent = 0;
+};
+
+/// Empty where the platform does not tell.
+std::optional<kernel_queue> read_kernel_queue(int socket)
+{
+  kernel_queue out;
+  const bool known = ::ioctl(socket, SIOCOUTQ, &out.unacknowledged) == 0 &&
+                     ::ioctl(socket, SIOCOUTQNSD, &out.unsent) == 0;
+  return known ? std::optional(out) : std::nullopt;
+}
+
 tcp::endpoint to_asio(const transport::endpoint& address)
 {
   return {asio::ip::make_address_v4(address.ip), address.port};
@@ -54,14 +77,19 @@
 
 struct tcp_connection::state
 {
-  explicit state(event_loop& owner) : loop(owner), socket(owner.context()), deadline(owner) {}
+  explicit state(event_loop& owner)
+      : loop(owner), socket(owner.context()), deadline(owner), window_timer(owner)
+  {
+  }
 
   event_loop& loop;
   tcp::socket socket;
   timer deadline;
+  timer window_timer;
   data_handler on_data;
   close_handler on_close;
   std::function<void()> on_sent;
+  std::function<bool()> on_peer_end;
   std::deque<std::string> queue;
   std::size_t unsent = 0;
   /// Bytes that arrived after close_when_sent().
@@ -70,6 +98,12 @@
   bool reading = false;
   bool open = false;
   bool closing = false;
+  bool reading_paused = false;
+  /// The peer has ended its side, and what is queued is still to be sent.
+  bool peer_ended = false;
+  bool tolerates_pauses = false;
+  bool watching_window = false;
+  bool window_closed = false;
 };
 
 tcp_connection::tcp_connection(event_loop& loop) : m_state(std::make_unique<state>(loop)) {}
@@ -148,6 +182,35 @@
   wait_readable();
 }
 
+void tcp_connection::tolerate_paused_peer()
+{
+  m_state->tolerates_pauses = true;
+}
+
+void tcp_connection::set_peer_end_handler(std::function<bool()> handler)
+{
+  m_state->on_peer_end = std::move(handler);
+}
+
+void tcp_connection::pause_reading()
+{
+  m_state->reading_paused = true;
+}
+
+void tcp_connection::resume_reading()
+{
+  if (!std::exchange(m_state->reading_paused, false) || !m_state->open)
+  {
+    return;
+  }
+  m_state->loop.post([self = shared_from_this()] { self->read_available(); });
+}
+
+void tcp_connection::poll()
+{
+  read_available();
+}
+
 void tcp_connection::wait_idle()
 {
   const std::weak_ptr<tcp_connection> weak = shared_from_this();
@@ -164,7 +227,7 @@
 
 void tcp_connection::wait_readable()
 {
-  if (m_state->reading || !m_state->open)
+  if (m_state->reading || !m_state->open || m_state->peer_ended)
   {
     return;
   }
@@ -186,7 +249,7 @@
   std::size_t received_in_turn = 0;
   // Asio waits for edges: what is left unread, the end of the stream included, would not wake it
   // again.
-  while (m_state->open)
+  while (m_state->open && !m_state->reading_paused && !m_state->peer_ended)
   {
     boost::system::error_code failure;
     const std::size_t received =
@@ -195,6 +258,12 @@
     {
       break;
     }
+    if (failure == asio::error::eof && m_state->unsent > 0 &&
+        (m_state->closing || (m_state->on_peer_end && m_state->on_peer_end())))
+    {
+      m_state->peer_ended = true;
+      return;
+    }
     if (failure)
     {
       end(failure == asio::error::eof ? close_reason::end_of_stream : close_reason::reset);
@@ -235,6 +304,7 @@
   }
   m_state->unsent += data.size();
   m_state->queue.push_back(std::move(data));
+  watch_window();
   if (!m_state->writing)
   {
     write_next();
@@ -261,6 +331,7 @@
         }
         s.unsent -= written;
         s.queue.pop_front();
+        self->watch_window();
         if (!s.queue.empty())
         {
           self->write_next();
@@ -308,9 +379,11 @@
 {
   m_state->open = false;
   m_state->deadline.cancel();
+  m_state->window_timer.cancel();
   m_state->on_data = nullptr;
   m_state->on_close = nullptr;
   m_state->on_sent = nullptr;
+  m_state->on_peer_end = nullptr;
   boost::system::error_code ignored;
   m_state->socket.close(ignored);
 }
@@ -332,6 +405,7 @@
   m_state->on_data = nullptr;
   m_state->on_close = std::move(on_closed);
   m_state->on_sent = nullptr;
+  resume_reading();
   if (m_state->writing)
   {
     m_state->deadline.start(last_bytes_timeout,
@@ -348,8 +422,63 @@
 {
   boost::system::error_code ignored;
   m_state->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  if (m_state->peer_ended)
+  {
+    // Nothing more can arrive, so that the kernel delivers the rest after the close.
+    end(close_reason::end_of_stream);
+    return;
+  }
+  linger(current_time() + last_bytes_timeout);
+}
+
+/// A close while the peer sends would discard what it has not received.
+void tcp_connection::linger(std::chrono::steady_clock::time_point until)
+{
   m_state->deadline.start(linger_timeout,
-                          [self = shared_from_this()] { self->end(close_reason::reset); });
+                          [self = shared_from_this(), until]
+                          {
+                            const auto queue =
+                                read_kernel_queue(self->m_state->socket.native_handle());
+                            if (queue && queue->unacknowledged > 0 && current_time() < until)
+                            {
+                              self->linger(until);
+                              return;
+                            }
+                            self->end(close_reason::reset);
+                          });
+}
+
+/// The time limit for unacknowledged bytes also runs while a living peer has closed its window, and
+/// ends the connection of a caller that reads nothing for a while.
+void tcp_connection::watch_window()
+{
+  if (!m_state->tolerates_pauses || std::exchange(m_state->watching_window, true))
+  {
+    return;
+  }
+  m_state->window_timer.start(
+      window_check_interval,
+      [self = shared_from_this()]
+      {
+        state& s = *self->m_state;
+        s.watching_window = false;
+        const int socket = s.socket.native_handle();
+        const auto queue = s.open ? read_kernel_queue(socket) : std::nullopt;
+        if (!queue)
+        {
+          return;
+        }
+        const bool closed = queue->unsent > 0 && queue->unsent == queue->unacknowledged;
+        if (closed != std::exchange(s.window_closed, closed))
+        {
+          set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                     closed ? paused_peer_timeout_ms : unacknowledged_timeout_ms);
+        }
+        if (queue->unacknowledged > 0)
+        {
+          self->watch_window();
+        }
+      });
 }
 
 struct tcp_listener::state
--- a/Source/Core/AsyncIo/TcpConnection.h
+++ b/Source/Core/AsyncIo/TcpConnection.h
@@ -40,6 +40,16 @@
                std::function<void(result<void>)> done);
   /// Starts reading.
   void start(data_handler on_data, close_handler on_close);
+  /// The peer may read nothing for a while; by default it is then taken for dead.
+  void tolerate_paused_peer();
+  /// Called when the peer ends its side while queued bytes wait to be sent. If it returns true, the
+  /// connection stays open for them.
+  void set_peer_end_handler(std::function<bool()> handler);
+  /// Leaves what arrives in the kernel. The end of the connection shows only when a write fails.
+  void pause_reading();
+  void resume_reading();
+  /// Handles what has arrived now instead of in the next turn of the loop.
+  void poll();
   /// Waits for the peer to close while no message is expected. Bytes that arrive all the same close
   /// the connection.
   void wait_idle();
@@ -52,8 +62,8 @@
   void close();
   /// Closes with a reset, so that bytes that are still on their way are not delivered.
   void abort();
-  /// Sends what is queued, ends the sending side, and reads on for a short time so that the peer
-  /// receives the last bytes before the connection ends. `on_closed` is then called.
+  /// Sends what is queued, ends the sending side, and reads on until the peer has received the last
+  /// bytes, or a time limit is reached. `on_closed` is then called.
   void close_when_sent(close_handler on_closed = nullptr);
 
 private:
@@ -66,6 +76,8 @@
   void read_available();
   void write_next();
   void end_sending();
+  void linger(std::chrono::steady_clock::time_point until);
+  void watch_window();
   void end(close_reason reason);
 
   std::unique_ptr<state> m_state;
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -67,6 +67,8 @@
 void caller_session::start()
 {
   const auto self = shared_from_this();
+  m_connection->tolerate_paused_peer();
+  m_connection->set_peer_end_handler([self] { return self->handle_caller_end(); });
   m_connection->start([self](std::string_view data) { self->receive(data); },
                       [self](async_io::close_reason) { self->close(); });
   restart_idle_timer();
@@ -126,6 +128,17 @@
   }
 }
 
+/// While its server is at work, the end of the sending side is how a caller leaves.
+bool caller_session::handle_caller_end()
+{
+  if (m_exchange || has_ended())
+  {
+    return false;
+  }
+  close_when_sent();
+  return true;
+}
+
 void caller_session::cut()
 {
   end("cut by the end of the process");
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -37,6 +37,8 @@
 
 private:
   void end(std::string_view outcome);
+  /// The caller has ended its sending side.
+  bool handle_caller_end();
   /// Takes no further request; a last answer may still be on its way.
   bool has_ended() const;
   void receive(std::string_view data);
