Gateway: requests that were read behind another one are answered

An answer says close only if no further request has been read; pipelined bytes beyond the limit are left in the kernel; an idle connection is read once more before it is closed.

--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -21,7 +21,8 @@
 using async_io::message_kind;
 using async_io::parse_failure;
 
-// Limit on pipelined request bytes that are buffered while a response is in progress.
+// Limit on pipelined request bytes that are buffered while a response is in progress; more is left to
+// the kernel.
 constexpr std::size_t max_pipelined_bytes = 65536;
 // A caller that does not read its response is disconnected before unsent data exhausts memory.
 constexpr std::size_t max_unsent_bytes = 8U << 20U;
@@ -101,6 +102,11 @@
 
 void caller_session::close_if_idle()
 {
+  if (!is_busy())
+  {
+    // A request that has arrived meanwhile is answered.
+    m_connection->poll();
+  }
   if (!is_busy())
   {
     close();
@@ -180,9 +186,7 @@
     // connection.
     if (m_parser.surplus_bytes() > max_pipelined_bytes)
     {
-      log_warning(log_category::requests, "caller pipelined too much data; closing the connection",
-                  {{"id", m_request_id}});
-      close();
+      m_connection->pause_reading();
     }
     return;
   }
@@ -324,7 +328,7 @@
 
 bool caller_session::should_keep_alive() const
 {
-  return m_keep_alive && !m_context.stop_started;
+  return m_keep_alive && (!m_context.stop_started || has_next_request());
 }
 
 void caller_session::write_head(const async_io::message_head& head,
@@ -345,6 +349,12 @@
     append_field(out, "Content-Length", std::to_string(*body_size));
   }
   else if (m_chunked)
+bool caller_session::has_next_request() const
+{
+  return !m_surplus.empty() || (m_parser.is_complete() && m_parser.surplus_bytes() > 0);
+}
+
+/// In a stop, requests that were read behind this one are answered before the connection closes.
   {
     append_field(out, "Transfer-Encoding", "chunked");
   }
@@ -461,3 +471,4 @@
 }
 
 } // namespace pollenyoke::gateway
+  m_connection->resume_reading();
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -60,6 +60,8 @@
   bool should_keep_alive() const;
 
   gateway_context& m_context;
+  /// Bytes of a further request have been read.
+  bool has_next_request() const;
   async_io::tcp_connection::pointer m_connection;
   ended_handler m_on_ended;
   async_io::timer m_timer;
@@ -71,6 +73,8 @@
   std::string m_request_id;
   bool m_head_checked = false;
   /// A response has been sent already; the rest of the body is read and discarded.
+  /// The request whose answer was queued last.
+  std::string m_answered_id;
   bool m_responded_early = false;
   bool m_chunked = false;
   bool m_keep_alive = true;
