Gateway: the end of a planned stop answers what has no answer yet

At that moment each request whose answer has not begun gets one: 503 with Retry-After 0 if no server can have begun it, else 502. Streams, and answers that callers still read, go on until 0.2 s before the kill. Later than 2.7 s after SIGTERM nothing waits for a server: another entry serves it sooner.

The bounds that Gateway.Decisions had for must_end now hold for must_answer, which has taken over what it decided; must_end has bounds of its own.

--- a/Source/Core/Gateway/BackendAttempt.h
+++ b/Source/Core/Gateway/BackendAttempt.h
@@ -70,6 +70,11 @@
 
   void start();
   void cancel();
+  /// False while the server cannot have received any of the request.
+  bool was_sent() const
+  {
+    return m_sent;
+  }
   /// Ends the attempt with an unknown outcome, for example when the server stops sending.
   void abandon(const std::string& reason);
 
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -145,6 +145,21 @@
   return true;
 }
 
+void caller_session::answer_for_stop()
+{
+  if (const auto exchange = m_exchange)
+  {
+    exchange->answer_for_stop();
+    return;
+  }
+  if (m_parser.has_head() && !m_parser.is_complete() && !m_responded_early && !has_ended())
+  {
+    m_keep_alive = false;
+    respond(503, milliseconds(0), "process stops");
+    close_when_sent();
+  }
+}
+
 void caller_session::cut()
 {
   end("cut by the end of the process");
@@ -182,8 +197,7 @@
   m_parser.feed(data);
   if (m_exchange)
   {
-    // Keeps reading to detect the caller's close; pipelined data beyond the limit ends the
-    // connection.
+    // Keeps reading to detect the caller's close.
     if (m_parser.surplus_bytes() > max_pipelined_bytes)
     {
       m_connection->pause_reading();
@@ -326,6 +340,12 @@
       }};
 }
 
+bool caller_session::has_next_request() const
+{
+  return !m_surplus.empty() || (m_parser.is_complete() && m_parser.surplus_bytes() > 0);
+}
+
+/// In a stop, requests that were read behind this one are answered before the connection closes.
 bool caller_session::should_keep_alive() const
 {
   return m_keep_alive && (!m_context.stop_started || has_next_request());
@@ -349,12 +369,6 @@
     append_field(out, "Content-Length", std::to_string(*body_size));
   }
   else if (m_chunked)
-bool caller_session::has_next_request() const
-{
-  return !m_surplus.empty() || (m_parser.is_complete() && m_parser.surplus_bytes() > 0);
-}
-
-/// In a stop, requests that were read behind this one are answered before the connection closes.
   {
     append_field(out, "Transfer-Encoding", "chunked");
   }
@@ -439,6 +453,7 @@
     return;
   }
   m_closing = true;
+  m_answered_id = m_request_id.empty() ? m_answered_id : m_request_id;
   m_timer.cancel();
   m_connection->close_when_sent([self = shared_from_this()](async_io::close_reason)
                                 { self->close(); });
@@ -455,7 +470,9 @@
     close_when_sent();
     return;
   }
+  m_answered_id = m_request_id;
   m_surplus = m_parser.take_surplus();
+  m_connection->resume_reading();
   m_parser =
       async_io::http_parser(message_kind::request, {limits().head_bytes, limits().body_bytes});
   m_head_checked = false;
@@ -471,4 +488,3 @@
 }
 
 } // namespace pollenyoke::gateway
-  m_connection->resume_reading();
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -32,6 +32,8 @@
   void end_if_quarantined();
   /// See request_exchange.
   void leave_engines(const std::set<std::string>& engines);
+  /// The process ends soon: a request whose answer has not begun gets one now.
+  void answer_for_stop();
   /// Ends the session because the process ends.
   void cut();
 
@@ -58,10 +60,10 @@
   response_sink make_sink();
   const protocol::caller_limits& limits() const;
   bool should_keep_alive() const;
-
-  gateway_context& m_context;
   /// Bytes of a further request have been read.
   bool has_next_request() const;
+
+  gateway_context& m_context;
   async_io::tcp_connection::pointer m_connection;
   ended_handler m_on_ended;
   async_io::timer m_timer;
@@ -71,10 +73,10 @@
   accepted_request m_request;
   std::string m_body;
   std::string m_request_id;
-  bool m_head_checked = false;
-  /// A response has been sent already; the rest of the body is read and discarded.
   /// The request whose answer was queued last.
   std::string m_answered_id;
+  bool m_head_checked = false;
+  /// A response has been sent already; the rest of the body is read and discarded.
   bool m_responded_early = false;
   bool m_chunked = false;
   bool m_keep_alive = true;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -246,24 +246,35 @@
   const auto passed =
       std::chrono::duration_cast<milliseconds>(current_time() - *m_context.stop_started);
   const bool notice_given = has_given_notice(passed);
-  if (notice_given)
+  const bool answer_now = must_answer(passed, m_context.settings.stop_grace);
+  if (notice_given || answer_now)
   {
     m_listener.close();
     const auto sessions = m_sessions;
     for (const auto& session : sessions)
     {
+      if (answer_now)
+      {
+        session->answer_for_stop();
+      }
       session->close_if_idle();
     }
   }
   if ((notice_given && m_sessions.empty()) || must_end(passed, m_context.settings.stop_grace))
   {
-    log_info(log_category::process, "stopped", {{"open_sessions", m_sessions.size()}});
-    m_on_stopped();
+    end_stop(passed);
     return;
   }
   m_stop_timer.start(stop_check_interval, [this] { check_stopped(); });
 }
 
+void gateway::end_stop(milliseconds passed)
+{
+  log_info(log_category::process, "stopped",
+           {{"open_sessions", m_sessions.size()}, {"stop_ms", passed.count()}});
+  m_on_stopped();
+}
+
 std::string gateway::metrics_text() const
 {
   return m_context.metrics.to_prometheus();
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -64,6 +64,7 @@
   /// are used from the first token on.
   void watch_unseen_loads();
   void check_stopped();
+  void end_stop(std::chrono::milliseconds passed);
   void add_leaving(const peers::server_leaving& leaving);
   void add_limit(const peers::server_limit& news);
   void end_quarantined_requests();
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -108,16 +108,40 @@
   send_next();
 }
 
+milliseconds request_exchange::since_stop() const
+{
+  return m_context.stop_started ? std::chrono::duration_cast<milliseconds>(
+                                      current_time() - *m_context.stop_started)
+                                : milliseconds(0);
+}
+
 bool request_exchange::outlasts_request() const
 {
-  if (!m_context.stop_started)
+  return !m_context.stop_started || accepts_request({.since_stop = since_stop(),
+                                                     .time_limit = time_left(),
+                                                     .grace = m_context.settings.stop_grace});
+}
+
+void request_exchange::answer_for_stop()
+{
+  if (m_ended || m_response_started)
   {
-    return true;
+    return;
   }
-  const auto since_stop = current_time() - *m_context.stop_started;
-  return accepts_request({.since_stop = std::chrono::duration_cast<milliseconds>(since_stop),
-                          .time_limit = time_left(),
-                          .grace = m_context.settings.stop_grace});
+  const bool may_have_run = m_may_have_run > 0 || (m_attempt && m_attempt->was_sent());
+  if (m_attempt)
+  {
+    m_attempt->cancel();
+    m_attempt = nullptr;
+    m_context.backends.end_attempt(m_server, attempt_health::neutral, current_time());
+  }
+  if (may_have_run)
+  {
+    refuse(502, std::nullopt, "process stops");
+    return;
+  }
+  // Other entries can serve it at once.
+  refuse(503, milliseconds(0), "process stops");
 }
 
 choice_request request_exchange::make_choice_request()
@@ -276,6 +300,16 @@
       input.loads_weights = service != nullptr && service->engine.has_value();
     }
     const admission_decision decision = decide_admission(input);
+    if (decision.hold_for && !may_wait(since_stop()))
+    {
+      if (m_may_have_run > 0)
+      {
+        apply(final_action(make_retry_state(m_last_end)));
+        return;
+      }
+      refuse(503, milliseconds(0), "process stops");
+      return;
+    }
     if (decision.hold_for)
     {
       m_retry_timer.start(*decision.hold_for, [self = shared_from_this()] { self->send_next(); });
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -61,11 +61,15 @@
   void leave_engines(const std::set<std::string>& engines);
   /// Ends the request without an answer. `outcome` is logged.
   void cancel(std::string_view outcome);
+  /// Answers now unless the answer has begun: the process ends soon.
+  void answer_for_stop();
 
 private:
   milliseconds time_left() const;
   milliseconds time_limit() const;
   /// False if the process may end, in a planned stop, before the request does.
+  /// 0 unless a planned stop has begun.
+  milliseconds since_stop() const;
   bool outlasts_request() const;
   choice_request make_choice_request();
   void send_next();
--- a/Source/UnitTests/Gateway/DecisionsTest.cpp
+++ b/Source/UnitTests/Gateway/DecisionsTest.cpp
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(misdirected_server_is_avoided_for_a_while);
   CPPUNIT_TEST(engine_without_the_version_is_not_chosen);
   CPPUNIT_TEST(late_requests_of_a_planned_stop_must_fit_into_the_time_left);
+  CPPUNIT_TEST(requests_wait_only_early_in_a_planned_stop);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -451,8 +452,20 @@
     CPPUNIT_ASSERT(accepts(6500, 600));
     CPPUNIT_ASSERT(!accepts(7000, 600));
     // Short grace times leave a sixth of them.
-    CPPUNIT_ASSERT(!must_end(milliseconds(1600), milliseconds(2000)));
-    CPPUNIT_ASSERT(must_end(milliseconds(1700), milliseconds(2000)));
+    CPPUNIT_ASSERT(!must_answer(milliseconds(1600), milliseconds(2000)));
+    CPPUNIT_ASSERT(must_answer(milliseconds(1700), milliseconds(2000)));
+    CPPUNIT_ASSERT(!must_end(milliseconds(1800), milliseconds(2000)));
+    CPPUNIT_ASSERT(must_end(milliseconds(1900), milliseconds(2000)));
+    CPPUNIT_ASSERT(!must_end(milliseconds(7750), milliseconds(8000)));
+    CPPUNIT_ASSERT(must_end(milliseconds(7800), milliseconds(8000)));
+  }
+
+  /// Guards against waits that the end of the process cuts.
+  void requests_wait_only_early_in_a_planned_stop()
+  {
+    CPPUNIT_ASSERT(may_wait(milliseconds(0)));
+    CPPUNIT_ASSERT(may_wait(milliseconds(2600)));
+    CPPUNIT_ASSERT(!may_wait(milliseconds(2700)));
   }
 };
 
