Gateway: a request that is cut is logged whatever the load

Requests that are cut, and answers that were not delivered, are now always logged with their id; callers that left have a limit of their own. `stopped` says how many answers were cut, how long the stop took and how many lines were dropped.

--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -115,7 +115,7 @@
 
 void caller_session::close()
 {
-  end("caller left");
+  end(outcome_caller_left);
 }
 
 void caller_session::end_if_quarantined()
@@ -160,9 +160,11 @@
   }
 }
 
-void caller_session::cut()
+bool caller_session::cut()
 {
-  end("cut by the end of the process");
+  const bool is_cut = m_exchange != nullptr || m_connection->unsent_bytes() > 0;
+  end(outcome_cut_by_stop);
+  return is_cut;
 }
 
 void caller_session::end(std::string_view outcome)
@@ -178,6 +180,13 @@
     m_exchange->cancel(outcome);
     m_exchange = nullptr;
   }
+  else if (m_connection->unsent_bytes() > 0)
+  {
+    log_info(log_category::requests, "answer not delivered",
+             {{"id", m_answered_id},
+              {"outcome", outcome},
+              {"unsent_bytes", m_connection->unsent_bytes()}});
+  }
   m_connection->close();
   m_on_ended(shared_from_this());
 }
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -34,8 +34,8 @@
   void leave_engines(const std::set<std::string>& engines);
   /// The process ends soon: a request whose answer has not begun gets one now.
   void answer_for_stop();
-  /// Ends the session because the process ends.
-  void cut();
+  /// Ends the session because the process ends. True if this cuts an answer.
+  bool cut();
 
 private:
   void end(std::string_view outcome);
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -45,6 +45,7 @@
                 .random = std::mt19937_64(std::random_device{}()),
                 .metrics = {},
                 .log_budget = token_bucket(log_lines_per_s, log_burst, current_time()),
+                .departure_log_budget = token_bucket(log_lines_per_s, log_burst, current_time()),
                 .dropped_log_lines = 0,
                 .started = current_time(),
                 .live_entries = std::move(counts.live),
@@ -270,8 +271,14 @@
 
 void gateway::end_stop(milliseconds passed)
 {
+  const auto sessions = m_sessions;
+  const auto cut = std::count_if(sessions.begin(), sessions.end(),
+                                 [](const auto& session) { return session->cut(); });
   log_info(log_category::process, "stopped",
-           {{"open_sessions", m_sessions.size()}, {"stop_ms", passed.count()}});
+           {{"open_sessions", sessions.size()},
+            {"cut_answers", cut},
+            {"stop_ms", passed.count()},
+            {"dropped_log_lines", m_context.dropped_log_lines}});
   m_on_stopped();
 }
 
--- a/Source/Core/Gateway/GatewayContext.h
+++ b/Source/Core/Gateway/GatewayContext.h
@@ -45,7 +45,10 @@
   std::function<void(const peers::peer_message&)> tell_entries;
   std::mt19937_64 random;
   metrics_registry metrics;
+  /// Limits the log lines about single requests; those that are cut are always logged.
   token_bucket log_budget;
+  /// The same for callers that left, so that refusals do not hide them.
+  token_bucket departure_log_budget;
   std::uint64_t dropped_log_lines = 0;
   time_point started;
   /// Number of live entries, including this one.
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -800,7 +800,7 @@
     forward_response();
     return;
   case retry_action::abort:
-    end_request("cut off");
+    end_request(outcome_cut_off);
     m_sink.abort();
     return;
   }
@@ -882,7 +882,11 @@
   {
     return;
   }
-  if (!m_context.log_budget.try_take(1, now))
+  // A caller that got no whole answer asks why; refusals may be too many to tell.
+  const bool is_cut = outcome == outcome_cut_off || outcome == outcome_cut_by_stop;
+  auto& budget =
+      outcome == outcome_caller_left ? m_context.departure_log_budget : m_context.log_budget;
+  if (!is_cut && !budget.try_take(1, now))
   {
     ++m_context.dropped_log_lines;
     return;
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -17,6 +17,11 @@
 namespace pollenyoke::gateway
 {
 
+/// Outcomes of requests whose callers got no whole answer.
+constexpr std::string_view outcome_cut_off = "cut off";
+constexpr std::string_view outcome_cut_by_stop = "cut by the end of the process";
+constexpr std::string_view outcome_caller_left = "caller left";
+
 /// A complete request of a caller that has been routed and authorized.
 struct accepted_request
 {
