AsyncIo, Gateway, Transport: a status outside 100 to 599 is no answer

Here Beast reads 000, 001 and 099 as answers, which the gateway took for interim ones: the caller waited for an answer that did not come. 600 and 999 were passed on, in the own mode 000 as well.

The parser refuses such a status, so that the attempt ends at once as a fault of the server, and so do calls to the store and the origin; 101, which no one asked for, ends the attempt too; the client of the own mode takes 200 to 599. Two lengths that differ were refused before and have a case now.

Tests, failing before: AsyncIo.HttpParser impossible_answers_are_refused, Gateway.Forwarding invalid_responses_are_not_forwarded (504 at the deadline instead of 502), Transport impossible_status_is_no_answer.

--- a/Source/Core/AsyncIo/HttpParser.cpp
+++ b/Source/Core/AsyncIo/HttpParser.cpp
@@ -12,6 +12,9 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
+constexpr int min_status = 100;
+constexpr int max_status = 599;
+
 /// Collects what Beast's parser reports. Fields of trailers are dropped.
 template <bool is_request>
 class collecting_parser final : public http::basic_parser<is_request>
@@ -31,8 +34,14 @@
   }
 
   void on_response_impl(int code, beast::string_view reason, int version,
-                        beast::error_code& /*failure*/) override
+                        beast::error_code& failure) override
   {
+    // Three digits are not yet a status.
+    if (code < min_status || code > max_status)
+    {
+      failure = http::error::bad_status;
+      return;
+    }
     m_head.status = static_cast<unsigned>(code);
     m_head.reason.assign(reason.data(), reason.size());
     m_head.version = version;
--- a/Source/Core/Gateway/BackendAttempt.cpp
+++ b/Source/Core/Gateway/BackendAttempt.cpp
@@ -18,6 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr async_io::parse_limits response_limits{65536, 16U << 20U};
+constexpr unsigned switching_protocols = 101;
 // Interim responses and late responses to other requests come singly; a server that sends more of
 // them than this is faulty.
 constexpr unsigned max_skipped_messages = 16;
@@ -184,6 +185,11 @@
 bool backend_attempt::process_head()
 {
   const message_head& head = m_parser.head();
+  if (head.status == switching_protocols)
+  {
+    end({.reason = "server changes to a protocol that no one asked for"});
+    return false;
+  }
   if (head.status < 200)
   {
     m_skip_message = true;
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -44,6 +44,10 @@
 namespace
 {
 
+// Interim answers are skipped by the library.
+constexpr int min_final_status = 200;
+constexpr int max_status = 599;
+
 std::string encode_target(const http_request& request)
 {
   if (request.query.empty())
@@ -172,9 +176,11 @@
 {
   auto client = m_impl->take();
   httplib::Request out = to_library(request);
+  bool valid = true;
   out.response_handler = [&](const httplib::Response& head)
   {
-    return on_head(head.status, from_library(head.headers));
+    valid = head.status >= min_final_status && head.status <= max_status;
+    return valid && on_head(head.status, from_library(head.headers));
   };
   out.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t)
   {
@@ -182,7 +188,12 @@
   };
   httplib::Response answer;
   httplib::Error code = httplib::Error::Success;
-  if (!client->send(out, answer, code))
+  const bool sent = client->send(out, answer, code);
+  if (!valid)
+  {
+    return fail(error_code::malformed, "answer has an impossible status");
+  }
+  if (!sent)
   {
     return tl::unexpected(to_error(code));
   }
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -29,7 +29,8 @@
 
 /// HTTP client for one server. Thread-safe; concurrent requests use separate connections.
 /// Errors: `unavailable` when no connection was made (the server has not seen the request),
-/// `closed` when the connection broke or timed out afterwards (the server may have seen it).
+/// `closed` when the connection broke or timed out afterwards (the server may have seen it),
+/// `malformed` when the answer's status is none of a final answer.
 class http_client
 {
 public:
--- a/Source/UnitTests/AsyncIo/HttpParserTest.cpp
+++ b/Source/UnitTests/AsyncIo/HttpParserTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(answer_without_length_ends_with_its_stream);
   CPPUNIT_TEST(answer_cut_short_is_a_failure);
   CPPUNIT_TEST(answer_to_head_has_no_body);
+  CPPUNIT_TEST(impossible_answers_are_refused);
   CPPUNIT_TEST_SUITE_END();
 
   static http_parser request()
@@ -35,6 +36,34 @@
   }
 
 public:
+  /// Guards against answers whose status stands for none, or whose end can be read in two ways.
+  void impossible_answers_are_refused()
+  {
+    const std::string rest = "\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string status : {"000", "001", "099", "600", "999", "20", "2000", "abc", ""})
+    {
+      http_parser parser(message_kind::response, {});
+      parser.feed("HTTP/1.1 " + status + " X" + rest);
+      CPPUNIT_ASSERT_MESSAGE(status, parser.failure() == parse_failure::malformed);
+      CPPUNIT_ASSERT_MESSAGE(status, !parser.has_head());
+    }
+    for (const std::string status : {"100", "200", "599"})
+    {
+      http_parser parser(message_kind::response, {});
+      parser.feed("HTTP/1.1 " + status + " X" + rest);
+      CPPUNIT_ASSERT_MESSAGE(status, parser.has_head());
+    }
+    for (const std::string fields :
+         {"Content-Length: 1\r\nContent-Length: 2\r\n",
+          "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 1, 2\r\n",
+          "Content-Length: -1\r\n"})
+    {
+      http_parser parser(message_kind::response, {});
+      parser.feed("HTTP/1.1 200 OK\r\n" + fields + "\r\nx");
+      CPPUNIT_ASSERT_MESSAGE(fields, parser.failure() == parse_failure::malformed);
+    }
+  }
+
   /// Guards against requests smuggled inside others and against heads and bodies without bound.
   void bad_requests_are_refused()
   {
--- a/Source/UnitTests/Gateway/ForwardingTest.cpp
+++ b/Source/UnitTests/Gateway/ForwardingTest.cpp
@@ -118,10 +118,11 @@
     CPPUNIT_ASSERT(total_requests() <= 2);
   }
 
-  /// Guards against forwarding responses that are unsigned, encoded, truncated or not HTTP.
+  /// Guards against forwarding responses that are unsigned, encoded, truncated, not HTTP, or have a
+  /// status that is none.
   void invalid_responses_are_not_forwarded()
   {
-    const std::vector<scripted_server::scripted_response> cases = {
+    std::vector<scripted_server::scripted_response> cases = {
         {"HTTP/1.1 200 OK\r\nX-Pollenyoke-Request-Id: r1\r\nContent-Length: 1\r\n\r\nx"},
         {signed_response("r1", "x", "Content-Encoding: gzip\r\n")},
         {"HTTP/1.1 200 OK\r\nX-Pollenyoke-Request-Id: r1\r\nX-Pollenyoke-Response-Seal: s\r\n"
@@ -131,6 +132,10 @@
          "s\r\n\r\nabc",
          false, true},
         {"garbage\r\n\r\n"}};
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"})
+    {
+      cases.push_back({"HTTP/1.1 " + status + " X\r\n" + signed_response("r1", "x").substr(17)});
+    }
     for (const auto& invalid : cases)
     {
       script_all({invalid});
--- a/Source/UnitTests/Transport/TransportTest.cpp
+++ b/Source/UnitTests/Transport/TransportTest.cpp
@@ -1,8 +1,14 @@
+#include <array>
 #include <condition_variable>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Transport/HttpClient.h"
@@ -68,6 +74,54 @@
   return std::move(*node);
 }
 
+/// Answers one connection with fixed bytes.
+class raw_server
+{
+public:
+  explicit raw_server(std::string answer) : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    CPPUNIT_ASSERT_EQUAL(0, ::bind(m_socket, generic, size));
+    CPPUNIT_ASSERT_EQUAL(0, ::listen(m_socket, 1));
+    CPPUNIT_ASSERT_EQUAL(0, ::getsockname(m_socket, generic, &size));
+    m_port = ntohs(address.sin_port);
+    m_thread = std::thread(
+        [this, answer = std::move(answer)]
+        {
+          const int connection = ::accept(m_socket, nullptr, nullptr);
+          std::array<char, 4096> request{};
+          (void)::recv(connection, request.data(), request.size(), 0);
+          (void)::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+          ::shutdown(connection, SHUT_WR);
+          (void)::recv(connection, request.data(), request.size(), 0);
+          ::close(connection);
+        });
+  }
+  ~raw_server()
+  {
+    m_thread.join();
+    ::close(m_socket);
+  }
+  raw_server(const raw_server&) = delete;
+  raw_server& operator=(const raw_server&) = delete;
+  raw_server(raw_server&&) = delete;
+  raw_server& operator=(raw_server&&) = delete;
+
+  std::uint16_t port() const
+  {
+    return m_port;
+  }
+
+private:
+  int m_socket;
+  std::uint16_t m_port = 0;
+  std::thread m_thread;
+};
+
 class transport_test : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(transport_test);
@@ -79,6 +133,7 @@
   CPPUNIT_TEST(http_round_trip_and_stream);
   CPPUNIT_TEST(broken_stream_is_an_error);
   CPPUNIT_TEST(idle_connections_do_not_block_others);
+  CPPUNIT_TEST(impossible_status_is_no_answer);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against reordering by the worker pool.
@@ -222,6 +277,28 @@
     CPPUNIT_ASSERT(client.send({}).has_value());
   }
 
+  /// Guards against numbers that are no status and reach callers as one.
+  void impossible_status_is_no_answer()
+  {
+    for (const std::string status : {"000", "001", "099", "101", "199", "600", "999"})
+    {
+      raw_server server("HTTP/1.1 " + status + " X\r\nContent-Length: 1\r\n\r\nx");
+      bool head_seen = false;
+      http_client client({"127.0.0.1", server.port()}, {.keep_alive = false});
+      const auto answer = client.send_streaming(
+          {},
+          [&head_seen](int, const http_headers&)
+          {
+            head_seen = true;
+            return true;
+          },
+          [](std::string_view) { return true; });
+      CPPUNIT_ASSERT_MESSAGE(status, !answer.has_value());
+      CPPUNIT_ASSERT_MESSAGE(status, answer.error().code == error_code::malformed);
+      CPPUNIT_ASSERT_MESSAGE(status, !head_seen);
+    }
+  }
+
   static std::unique_ptr<http_server> start_server(http_handler handler)
   {
     auto server = http_server::start({.listen = any_port}, std::move(handler));
