Daemon: a second SIGTERM does not cut a planned stop

Now only a second SIGINT ends it at once.

Test: System.requests.entry-leaves and planned-stop send SIGTERM twice.

--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -33,7 +33,7 @@
   -h --help        Show this text.
 
 SIGTERM is a planned stop: the process takes no new work, finishes what is in progress and ends.
-A second SIGTERM ends it at once.
+Further ones change nothing. A second SIGINT ends it at once.
 )";
 
 /// Blocks the stop signals in all threads that start later, so that only sigwait receives them.
@@ -52,8 +52,16 @@
 {
   int received = 0;
   sigwait(&signals, &received);
-  // The next signal has its default action, which ends the process at once.
-  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+  if (received != SIGINT)
+  {
+    return;
+  }
+  // A person at a terminal asks again: the next one has its default action, which ends the process
+  // at once. SIGTERM stays blocked, as platforms send it more than once.
+  sigset_t interrupt;
+  sigemptyset(&interrupt);
+  sigaddset(&interrupt, SIGINT);
+  pthread_sigmask(SIG_UNBLOCK, &interrupt, nullptr);
 }
 
 int run(const protocol::settings& settings, const sigset_t& signals)
--- a/Tools/bench-requests.sh
+++ b/Tools/bench-requests.sh
@@ -116,7 +116,7 @@
   case $scenario in
     slow-engine) fault "backend-$victim" '{"first_token_ms":400,"token_ms":60}' ;;
     engine-dies) fault "backend-$victim" '{"crash":true}' ;;
-    planned-stop) stop "$victim" ;;
+    planned-stop) stop_again "$victim" ;;
     silent-connections) fault_all_links '{"silence_open":true}' ;;
     log-down)
       fault log '{"down":true}'
@@ -147,7 +147,7 @@
       pause "backend-$victim"
       sleep 4
       resume "backend-$victim" ;;
-    entry-leaves) stop "$entry" ;;
+    entry-leaves) stop_again "$entry" ;;
     listed-leaving)
       for name in "$victim" "$service"; do list_host "$name" leaving; done
       # The bound of the design (I5). A later snapshot makes the check weaker, never wrong.
--- a/Tools/lib.sh
+++ b/Tools/lib.sh
@@ -46,6 +46,13 @@
   wait "$pid" 2>/dev/null || true
 }
 
+# stop_again NAME: a planned stop with two signals, as platforms send them.
+stop_again() {
+  local pid=${pid_of[$1]:-}
+  [ -z "$pid" ] || { kill -TERM "$pid" && sleep 0.3; } 2>/dev/null || true
+  stop "$1"
+}
+
 # pause NAME, resume NAME: stops and continues a process without its knowledge.
 pause() { kill -STOP "${pid_of[$1]}"; }
 resume() { kill -CONT "${pid_of[$1]}"; }
