Entry: late in a planned stop only requests that end before the process are taken

Once earlier discovery answers have expired, a request whose deadline is behind the end of the stop is refused as not run.

Test, failing before (it did not compile: nothing could say when the stop ends): Entry, request_that_may_outlast_a_planned_stop_is_refused.

--- a/Source/Core/Entry/Entry.cpp
+++ b/Source/Core/Entry/Entry.cpp
@@ -191,6 +191,7 @@
   const auto answers_expire_at =
       begin + settings().requests.entry_lifetime + leaving_propagation_time;
   const auto drain_deadline = begin + settings().requests.drain_timeout;
+  m_forwarder->begin_stop(answers_expire_at, drain_deadline);
   while (clock::now() < drain_deadline &&
          (clock::now() < answers_expire_at || m_forwarder->in_flight() > 0))
   {
--- a/Source/Core/Entry/Forwarder.cpp
+++ b/Source/Core/Entry/Forwarder.cpp
@@ -103,6 +103,20 @@
   return m_in_flight;
 }
 
+void forwarder::begin_stop(std::chrono::steady_clock::time_point refuse_from,
+                           std::chrono::steady_clock::time_point end)
+{
+  const std::lock_guard lock(m_mutex);
+  m_planned_end = {refuse_from, end};
+}
+
+bool forwarder::outlasts(const forward_request& request)
+{
+  const std::lock_guard lock(m_mutex);
+  return !m_planned_end || std::chrono::steady_clock::now() < m_planned_end->refuse_from ||
+         request.deadline <= m_planned_end->end;
+}
+
 void forwarder::stop()
 {
   m_stopping = true;
--- a/Source/Core/Entry/Forwarder.h
+++ b/Source/Core/Entry/Forwarder.h
@@ -70,6 +70,10 @@
   /// Creates the session of a request; null if the limit of requests in flight is reached.
   std::shared_ptr<request_session> start(forward_request request);
   std::uint32_t in_flight() const;
+  /// A planned stop ends at `end`. Requests that arrive later than `refuse_from` and may last
+  /// longer are refused.
+  void begin_stop(std::chrono::steady_clock::time_point refuse_from,
+                  std::chrono::steady_clock::time_point end);
   /// Ends all requests; callers get the outcome known at that time.
   void stop();
 
@@ -92,6 +96,7 @@
   void record_load(const host_id& host, std::uint32_t load_permille);
   void record_key_owner(const std::string& service, const std::string& key, const host_id& owner);
   bool may_retry();
+  bool outlasts(const forward_request& request);
   void remove(const request_id& id);
 
   struct reported_load
@@ -116,6 +121,12 @@
   std::uint64_t m_round_robin_count = 0;
   std::atomic<std::uint32_t> m_in_flight{0};
   std::atomic<bool> m_stopping{false};
+  struct planned_end
+  {
+    std::chrono::steady_clock::time_point refuse_from;
+    std::chrono::steady_clock::time_point end;
+  };
+  std::optional<planned_end> m_planned_end;
 };
 
 } // namespace pollenyoke::entry
--- a/Source/Core/Entry/RequestSession.cpp
+++ b/Source/Core/Entry/RequestSession.cpp
@@ -373,7 +373,7 @@
   {
     return m_state.on_deadline();
   }
-  if (m_forwarder.m_stopping)
+  if (m_forwarder.m_stopping || (m_first_attempt && !m_forwarder.outlasts(m_request)))
   {
     return m_state.give_up(refusal_reason::leaving, "the entry is stopping");
   }
--- a/Source/UnitTests/Entry/EntryTest.cpp
+++ b/Source/UnitTests/Entry/EntryTest.cpp
@@ -101,6 +101,7 @@
   CPPUNIT_TEST(deadline_while_running_is_unknown);
   CPPUNIT_TEST(discovery_omits_a_leaving_entry);
   CPPUNIT_TEST(entry_limits_requests_in_flight);
+  CPPUNIT_TEST(request_that_may_outlast_a_planned_stop_is_refused);
   CPPUNIT_TEST(many_requests_get_their_own_answers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -277,6 +278,25 @@
     CPPUNIT_ASSERT(first.m_complete);
   }
 
+  // Guards against requests that are taken late in a planned stop and cut when the process ends.
+  void request_that_may_outlast_a_planned_stop_is_refused()
+  {
+    test_agent agent("engine-1", "assistant", backend_kind::engine);
+    test_entry entry({&agent});
+    const auto now = std::chrono::steady_clock::now();
+    const auto generate = [&entry](const std::string& deadline_ms)
+    {
+      return entry.generate("x", json::object(), {{"Pollenyoke-Deadline-Ms", deadline_ms}});
+    };
+    entry.m_forwarder->begin_stop(now + std::chrono::hours(1), now + std::chrono::seconds(30));
+    CPPUNIT_ASSERT_EQUAL(200, generate("60000")->status);
+    entry.m_forwarder->begin_stop(now, now + std::chrono::seconds(30));
+    CPPUNIT_ASSERT_EQUAL(200, generate("10000")->status);
+    const auto refused = generate("60000");
+    CPPUNIT_ASSERT_EQUAL(503, refused->status);
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), outcome_of(*refused));
+  }
+
   // Guards against answers delivered to the wrong caller when many requests share connections.
   void many_requests_get_their_own_answers()
   {
