--- a/Source/Daemon/NodeMain.cpp
+++ b/Source/Daemon/NodeMain.cpp
@@ -91,6 +91,8 @@
 
 int main(int argc, char** argv)
 {
+  // Its default action ends a process that gets it before the settings are read.
+  std::signal(SIGHUP, SIG_IGN);
   try
   {
     return run(docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, false));
