Node, Peers: an entry that leaves hears of the servers until it is gone

An entry in a planned stop was in no list of live entries from SIGTERM on, and got neither load reports nor what entries tell each other: servers that leave, limits, contents that crash servers. After 2.5 s it took all servers for silent, gave up requests that waited there and refused new ones, although it serves for up to 7.8 s.

Reports and messages go to entries that leave as well, while they are heard of.

Tests: Node.ProofReturn entry_that_leaves_hears_of_the_servers (fails without the change), Peers leaving_process_is_not_listed_as_live.

--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -180,6 +180,16 @@
       m_udp.send(datagram, {entry.ip, m_settings.peer_port});
     }
   }
+  send_to_leaving_entries(datagram);
+}
+
+/// They serve on for some seconds, and need to know the servers as well as before.
+void peer_service::send_to_leaving_entries(const std::string& datagram)
+{
+  for (const peers::peer_record& entry : m_table.leaving(peers::peer_role::entry, current_time()))
+  {
+    m_udp.send(datagram, {entry.ip, m_settings.peer_port});
+  }
 }
 
 void peer_service::tell_entry(const std::string& ip, const peers::peer_message& message)
@@ -329,6 +339,7 @@
   {
     m_udp.send(target.passes_on ? indirect : direct, {target.ip, m_settings.peer_port});
   }
+  send_to_leaving_entries(direct);
 }
 
 void peer_service::return_proof(const peers::load_message& load, const std::string& agent_ip)
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -111,6 +111,7 @@
   void greet(const std::vector<std::string>& hosts);
   void send_to(const std::vector<std::string>& hosts, peers::gossip_message message);
   void send_digest_to(const std::vector<std::string>& hosts);
+  void send_to_leaving_entries(const std::string& datagram);
   void receive(std::string_view datagram, const transport::endpoint& from);
   void serve(const async_io::message_head& head, const async_io::http_listener::responder& respond);
   void serve_changes(const async_io::message_head& head,
--- a/Source/Core/Peers/PeerTable.cpp
+++ b/Source/Core/Peers/PeerTable.cpp
@@ -229,20 +229,31 @@
 }
 
 std::span<const peer_record> peer_table::live(peer_role role, time_point now) const
+{
+  return current_list(role, now).records;
+}
+
+std::span<const peer_record> peer_table::leaving(peer_role role, time_point now) const
+{
+  return current_list(role, now).leaving;
+}
+
+const peer_table::live_list& peer_table::current_list(peer_role role, time_point now) const
 {
   live_list& list = m_live[role];
   if (list.made_at && now >= *list.made_at && now - *list.made_at < live_list_lifetime)
   {
-    return list.records;
+    return list;
   }
   list.made_at = now;
   auto& out = list.records;
   out.clear();
+  list.leaving.clear();
   for (const auto& [ip, peer] : m_peers)
   {
-    if (peer.record.role == role && is_live(peer, now) && !peer.record.leaving)
+    if (peer.record.role == role && is_live(peer, now))
     {
-      out.push_back(peer.record);
+      (peer.record.leaving ? list.leaving : out).push_back(peer.record);
     }
   }
   if (m_self.role == role && !m_self.leaving)
@@ -251,7 +262,7 @@
   }
   std::sort(out.begin(), out.end(),
             [](const peer_record& a, const peer_record& b) { return a.ip < b.ip; });
-  return out;
+  return list;
 }
 
 bool peer_table::has_heard_all() const
--- a/Source/Core/Peers/PeerTable.h
+++ b/Source/Core/Peers/PeerTable.h
@@ -71,6 +71,8 @@
   /// Live processes of a role that are not leaving, including this one, sorted by address. Their
   /// heartbeats may be out of date. Valid until the next call of any member function.
   std::span<const peer_record> live(peer_role role, time_point now) const;
+  /// Other processes of a role that leave and are still heard of. Valid as for live().
+  std::span<const peer_record> leaving(peer_role role, time_point now) const;
   /// Whether there are other hosts and each one named by the seeds, the store's list or gossip has
   /// a gossip record.
   bool has_heard_all() const;
@@ -92,6 +94,7 @@
   struct live_list
   {
     std::vector<peer_record> records;
+    std::vector<peer_record> leaving;
     std::optional<time_point> made_at;
   };
 
@@ -101,6 +104,7 @@
   void take_least_sent(std::vector<peer_state*>& candidates, std::size_t count,
                        std::vector<peer_record>& out);
   void drop_live_lists();
+  const live_list& current_list(peer_role role, time_point now) const;
 
   peer_record m_self;
   std::map<std::string, peer_state> m_peers;
--- a/Source/UnitTests/Node/ProofReturnTest.cpp
+++ b/Source/UnitTests/Node/ProofReturnTest.cpp
@@ -40,6 +40,7 @@
 {
   CPPUNIT_TEST_SUITE(proof_return_test);
   CPPUNIT_TEST(agent_gets_the_proof_of_its_earlier_run);
+  CPPUNIT_TEST(entry_that_leaves_hears_of_the_servers);
   CPPUNIT_TEST_SUITE_END();
 
   async_io::event_loop m_loop;
@@ -134,6 +135,36 @@
     CPPUNIT_ASSERT(returned);
     CPPUNIT_ASSERT(*returned == known.mark);
   }
+
+  /// Guards against an entry in a planned stop that gives up servers, as it hears no more of them.
+  void entry_that_leaves_hears_of_the_servers()
+  {
+    unsigned loads = 0;
+    unsigned messages = 0;
+    auto entry_handlers = make_handlers();
+    entry_handlers.on_load = [&](const peers::load_message&)
+    {
+      ++loads;
+    };
+    entry_handlers.on_entry_message = [&](const peers::peer_message&, const std::string&)
+    {
+      ++messages;
+    };
+    peer_process entry(m_loop, make_settings(entry_ip, protocol::process_role::entry),
+                       std::move(entry_handlers));
+    peer_process other(m_loop, make_settings(agent_ip, protocol::process_role::entry),
+                       make_handlers());
+    const auto sees_two = [&]
+    {
+      return other.peers.live(peers::peer_role::entry).size() == 2;
+    };
+    test::run_until(m_loop, sees_two);
+    entry.peers.set_leaving();
+    test::run_until(m_loop, [&] { return !sees_two(); });
+    other.peers.send_load({.engine = "127.77.2.101:80"});
+    other.peers.tell_entries(peers::server_leaving{.server = "s1", .started_ms = 1});
+    test::run_until(m_loop, [&] { return loads > 0 && messages > 0; });
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(proof_return_test, "Node.ProofReturn");
--- a/Source/UnitTests/Peers/PeerTableTest.cpp
+++ b/Source/UnitTests/Peers/PeerTableTest.cpp
@@ -430,8 +430,13 @@
     other.leaving = true;
     table.merge({.peers = {other}}, {});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.live(peer_role::entry, {}).size());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2"), table.leaving(peer_role::entry, {}).front().ip);
+    CPPUNIT_ASSERT(table.leaving(peer_role::agent, {}).empty());
     table.set_leaving();
     CPPUNIT_ASSERT(table.live(peer_role::entry, {}).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.leaving(peer_role::entry, {}).size());
+    const peer_table::time_point later = peer_table::time_point{} + std::chrono::minutes(1);
+    CPPUNIT_ASSERT(table.leaving(peer_role::entry, later).empty());
   }
 
   /// Guards against a restarted process that stays "leaving" because of a late record from before
