--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -21,8 +21,8 @@
 using async_io::message_kind;
 using async_io::parse_failure;
 
-// Limit on pipelined request bytes that are buffered while a response is in progress; more is left to
-// the kernel.
+// Limit on pipelined request bytes that are buffered while a response is in progress; more is left
+// to the kernel.
 constexpr std::size_t max_pipelined_bytes = 65536;
 // A caller that does not read its response is disconnected before unsent data exhausts memory.
 constexpr std::size_t max_unsent_bytes = 8U << 20U;
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -110,9 +110,9 @@
 
 milliseconds request_exchange::since_stop() const
 {
-  return m_context.stop_started ? std::chrono::duration_cast<milliseconds>(
-                                      current_time() - *m_context.stop_started)
-                                : milliseconds(0);
+  return m_context.stop_started
+             ? std::chrono::duration_cast<milliseconds>(current_time() - *m_context.stop_started)
+             : milliseconds(0);
 }
 
 bool request_exchange::outlasts_request() const
--- a/Source/Core/Gateway/StopPolicy.cpp
+++ b/Source/Core/Gateway/StopPolicy.cpp
@@ -10,8 +10,8 @@
 
 // Callers keep the answer of a lookup for two seconds or more.
 constexpr milliseconds drain_notice_time{3300};
-// Requests in progress are answered this long before the platform would kill the process, or a sixth
-// of the grace time if that is shorter.
+// Requests in progress are answered this long before the platform would kill the process, or a
+// sixth of the grace time if that is shorter.
 constexpr milliseconds max_answer_margin{700};
 // Time for the last system calls; answers that callers still read, and streams, go on until then.
 constexpr milliseconds max_exit_margin{200};
--- a/Source/Core/Node/StopSignals.cpp
+++ b/Source/Core/Node/StopSignals.cpp
@@ -5,9 +5,9 @@
 namespace pollenyoke::node
 {
 
-/// Platforms send SIGTERM more than once: to a process group, from several operators, in a series of
-/// stops that overlaps the one before. Only a person at a terminal asks for an end at once, with a
-/// second interrupt.
+/// Platforms send SIGTERM more than once: to a process group, from several operators, in a series
+/// of stops that overlaps the one before. Only a person at a terminal asks for an end at once, with
+/// a second interrupt.
 signal_action stop_signals::take(async_io::process_signal signal)
 {
   if (signal == async_io::process_signal::reload)
--- a/Source/Emulator/AnswerReader.cpp
+++ b/Source/Emulator/AnswerReader.cpp
@@ -56,8 +56,8 @@
 std::string write_request(const caller_request& request, const std::string& id, body_form form)
 {
   const bool has_body = kind_of(request.route) != request_kind::idempotent;
-  std::string out = (has_body ? "POST " : "GET ") + request.route.path_prefix + "x?of=" + id +
-                    " HTTP/1.1\r\n";
+  std::string out =
+      (has_body ? "POST " : "GET ") + request.route.path_prefix + "x?of=" + id + " HTTP/1.1\r\n";
   async_io::append_field(out, "Host", request.route.host);
   async_io::append_field(out, names::request_id, id);
   async_io::append_field(out, names::time_left_ms, std::to_string(request.deadline.count()));
@@ -137,8 +137,7 @@
 
 bool answer_reader::is_done() const
 {
-  return m_parser.is_complete() || m_malformed ||
-         (m_stream && !m_stream->problem().empty());
+  return m_parser.is_complete() || m_malformed || (m_stream && !m_stream->problem().empty());
 }
 
 answer_state answer_reader::state() const
--- a/Source/Emulator/CallerAttempt.cpp
+++ b/Source/Emulator/CallerAttempt.cpp
@@ -92,21 +92,20 @@
     return;
   }
   const auto self = shared_from_this();
-  m_connection->start(
-      [self](std::string_view data) { self->receive(data); },
-      [self](async_io::close_reason reason)
-      {
-        if (reason == async_io::close_reason::end_of_stream)
-        {
-          self->m_answer->feed_end();
-        }
-        if (self->m_answer->is_done())
-        {
-          self->finish_answer();
-          return;
-        }
-        self->end(self->m_answer->state());
-      });
+  m_connection->start([self](std::string_view data) { self->receive(data); },
+                      [self](async_io::close_reason reason)
+                      {
+                        if (reason == async_io::close_reason::end_of_stream)
+                        {
+                          self->m_answer->feed_end();
+                        }
+                        if (self->m_answer->is_done())
+                        {
+                          self->finish_answer();
+                          return;
+                        }
+                        self->end(self->m_answer->state());
+                      });
   m_connection->write(write_request(m_request, m_id, body_form::with_length));
 }
 
--- a/Source/Emulator/Checks.cpp
+++ b/Source/Emulator/Checks.cpp
@@ -643,13 +643,13 @@
                 const rule_bounds& bounds)
 {
   const moment from = sent.sent - bounds.stability_window;
-  const bool machine_disturbed = std::any_of(
-      seen.disturbances.begin(), seen.disturbances.end(),
-      [&](const disturbance& fault)
-      {
-        return !fault.planned && fault.scope == sent.machine && fault.from <= sent.ended &&
-               from <= fault.to;
-      });
+  const bool machine_disturbed = std::any_of(seen.disturbances.begin(), seen.disturbances.end(),
+                                             [&](const disturbance& fault)
+                                             {
+                                               return !fault.planned &&
+                                                      fault.scope == sent.machine &&
+                                                      fault.from <= sent.ended && from <= fault.to;
+                                             });
   return sent.ended + deadline_slack >= sent.due || machine_disturbed ||
          std::any_of(runs.begin(), runs.end(),
                      [&](const arrival* run) {
@@ -671,7 +671,8 @@
   constexpr double unknowing_s = 3;
   const moment last_sixth = stop.first_asked + bounds.stop_grace * 5 / 6;
   return sent.sent <= stop.first_asked + unknowing_s &&
-         std::any_of(runs.begin(), runs.end(), [last_sixth](const arrival* run)
+         std::any_of(runs.begin(), runs.end(),
+                     [last_sixth](const arrival* run)
                      { return run->ran && (run->ended == 0 || run->ended >= last_sixth); });
 }
 
@@ -688,8 +689,8 @@
 
 bool is_cut_by_stop(const history& seen, const attempt& sent, const rule_bounds& bounds)
 {
-  return std::any_of(seen.stops.begin(), seen.stops.end(), [&](const planned_stop& stop)
-                     { return is_around(stop, sent, bounds); });
+  return std::any_of(seen.stops.begin(), seen.stops.end(),
+                     [&](const planned_stop& stop) { return is_around(stop, sent, bounds); });
 }
 
 bool is_cut_by_reload(const history& seen, const attempt& sent, const rule_bounds& bounds)
--- a/Source/Emulator/FaultInjector.cpp
+++ b/Source/Emulator/FaultInjector.cpp
@@ -191,7 +191,10 @@
   double at = reload_before_s;
   for (const machine& target : targets)
   {
-    const auto stop = [this, name = target.name] { m_run.processes().stop(name); };
+    const auto stop = [this, name = target.name]
+    {
+      m_run.processes().stop(name);
+    };
     after(at, stop);
     while (fraction(random) < again_share)
     {
--- a/Source/Emulator/KeptConnectionCaller.cpp
+++ b/Source/Emulator/KeptConnectionCaller.cpp
@@ -281,7 +281,8 @@
 
 void kept_connection_caller::check_deadline()
 {
-  if (m_pending.empty() || m_record.now() < m_record.attempt_at(m_pending.front().attempt).due + patience_s)
+  if (m_pending.empty() ||
+      m_record.now() < m_record.attempt_at(m_pending.front().attempt).due + patience_s)
   {
     return;
   }
--- a/Source/Emulator/PlatformRun.cpp
+++ b/Source/Emulator/PlatformRun.cpp
@@ -254,8 +254,8 @@
   std::mt19937_64 random(m_options.seed);
   for (const machine& host : m_layout.machines)
   {
-    for (unsigned i = 0; host.role == protocol::process_role::entry && i < m_options.kept_connections;
-         ++i)
+    for (unsigned i = 0;
+         host.role == protocol::process_role::entry && i < m_options.kept_connections; ++i)
     {
       m_kept_connections.push_back(std::make_unique<kept_connection_caller>(
           m_loop, m_record, host.name, callers_address(host), habits[i % habits.size()],
--- a/Source/Emulator/Soak.cpp
+++ b/Source/Emulator/Soak.cpp
@@ -91,8 +91,8 @@
     else
     {
       const auto draw = m_options.plan == soak_plan::stops ? draw_stop_plan : draw_plan;
-      m_injector = std::make_unique<fault_injector>(
-          m_loop, m_run, draw(m_options.run.seed, m_options.duration));
+      m_injector = std::make_unique<fault_injector>(m_loop, m_run,
+                                                    draw(m_options.run.seed, m_options.duration));
       m_injector->start();
     }
     m_later.after(report_interval, [this] { report_progress(); });
--- a/Source/UnitTests/AsyncIo/HttpParserTest.cpp
+++ b/Source/UnitTests/AsyncIo/HttpParserTest.cpp
@@ -53,10 +53,9 @@
       parser.feed("HTTP/1.1 " + status + " X" + rest);
       CPPUNIT_ASSERT_MESSAGE(status, parser.has_head());
     }
-    for (const std::string fields :
-         {"Content-Length: 1\r\nContent-Length: 2\r\n",
-          "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 1, 2\r\n",
-          "Content-Length: -1\r\n"})
+    for (const std::string fields : {"Content-Length: 1\r\nContent-Length: 2\r\n",
+                                     "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+                                     "Content-Length: 1, 2\r\n", "Content-Length: -1\r\n"})
     {
       http_parser parser(message_kind::response, {});
       parser.feed("HTTP/1.1 200 OK\r\n" + fields + "\r\nx");
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -244,8 +244,8 @@
                       const reading_habits& habits = {})
   {
     script_all({{stream_head("r1") + encode_chunk(make_event(1, 1))}});
-    m_slow_caller = std::make_unique<slow_caller>(
-        m_loop, port, request("/stream/a", "r1", extra_fields), habits);
+    m_slow_caller = std::make_unique<slow_caller>(m_loop, port,
+                                                  request("/stream/a", "r1", extra_fields), habits);
     run_until([this] { return total_requests() == 1; });
     run_for(milliseconds(200));
   }
