AsyncIo, Gateway: connections that are established when the listener closes get an answer

3.3 s after SIGTERM an entry closes its listener; the kernel then resets the connections that it has established and that the loop has not accepted, with the requests that their callers have sent. They are accepted first.

Test, failing before: Gateway.PlannedStop connection_that_is_not_accepted_yet_gets_an_answer.

--- a/Source/Core/AsyncIo/TcpConnection.cpp
+++ b/Source/Core/AsyncIo/TcpConnection.cpp
@@ -556,13 +556,35 @@
           listener->pause.start(accept_pause, [this] { accept_next(); });
           return;
         }
-        connection->m_state->open = true;
-        connection->set_options();
-        listener->on_accept(connection);
+        take(connection);
         accept_next();
       });
 }
 
+void tcp_listener::take(const tcp_connection::pointer& connection)
+{
+  connection->m_state->open = true;
+  connection->set_options();
+  m_state->on_accept(connection);
+}
+
+/// Their peers may have sent requests, which the close of the listener would reset.
+void tcp_listener::close_after_pending()
+{
+  boost::system::error_code failure;
+  m_state->acceptor.non_blocking(true, failure);
+  while (!failure && m_state->acceptor.is_open())
+  {
+    const auto connection = tcp_connection::make(m_state->loop);
+    m_state->acceptor.accept(connection->m_state->socket, failure);
+    if (!failure)
+    {
+      take(connection);
+    }
+  }
+  close();
+}
+
 void tcp_listener::close()
 {
   boost::system::error_code ignored;
--- a/Source/Core/AsyncIo/TcpConnection.h
+++ b/Source/Core/AsyncIo/TcpConnection.h
@@ -99,10 +99,13 @@
   result<void> listen(const transport::endpoint& address);
   std::uint16_t port() const;
   void close();
+  /// Accepts the connections that are established already, and closes.
+  void close_after_pending();
 
 private:
   struct state;
   void accept_next();
+  void take(const tcp_connection::pointer& connection);
 
   std::shared_ptr<state> m_state;
 };
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -250,7 +250,7 @@
   const bool answer_now = must_answer(passed, m_context.settings.stop_grace);
   if (notice_given || answer_now)
   {
-    m_listener.close();
+    m_listener.close_after_pending();
     const auto sessions = m_sessions;
     for (const auto& session : sessions)
     {
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -209,6 +209,7 @@
   CPPUNIT_TEST(caller_that_stops_reading_for_a_while_gets_its_answer);
   CPPUNIT_TEST(bytes_behind_the_last_request_do_not_cut_its_answer);
   CPPUNIT_TEST(age_of_the_signal_counts);
+  CPPUNIT_TEST(connection_that_is_not_accepted_yet_gets_an_answer);
   CPPUNIT_TEST_SUITE_END();
 
   // More than the socket buffers hold, less than what the gateway keeps for a slow caller.
@@ -461,6 +462,31 @@
     CPPUNIT_ASSERT(make_event(1, 1) + events == m_slow_caller->body());
   }
 
+  /// Guards against a reset of connections that the kernel has established, with requests on them,
+  /// when the listener closes.
+  void connection_that_is_not_accepted_yet_gets_an_answer()
+  {
+    m_settings.stop_grace = seconds(8);
+    const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_gateway->port());
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CPPUNIT_ASSERT_EQUAL(
+        0, ::connect(caller, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
+    const std::string whole = request("/once/a", "r1");
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(whole.size()),
+                         ::send(caller, whole.data(), whole.size(), MSG_NOSIGNAL));
+    m_gateway->stop([this] { m_stopped = true; }, milliseconds(3500));
+    run_for(milliseconds(500));
+    std::array<char, 4096> answer{};
+    const ssize_t received = ::recv(caller, answer.data(), answer.size(), MSG_DONTWAIT);
+    ::close(caller);
+    CPPUNIT_ASSERT(received > 0);
+    CPPUNIT_ASSERT(std::string_view(answer.data()).starts_with("HTTP/1.1 503 "));
+    run_until([this] { return m_stopped; });
+  }
+
   /// Guards against times of a stop that begin when a late process handles the signal.
   void age_of_the_signal_counts()
   {
