--- a/Source/Emulator/PlatformRun.h
+++ b/Source/Emulator/PlatformRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -93,10 +94,11 @@
   std::vector<std::string> entries_behind(const stand_ins::relay_loop& proxy) const;
   /// Bytes that the origin sent, in copies of one version for each version that was named.
   double origin_copies() const;
-  /// Longest time by which the event loop of this process was late: a sign of a busy machine.
+  /// Longest time by which the event loop of this process, or the end of a killed process, was
+  /// late: a sign of a busy machine.
   std::chrono::milliseconds longest_delay() const
   {
-    return m_longest_delay;
+    return std::max(m_longest_delay, m_processes.longest_end());
   }
 
 private:
--- a/Source/Emulator/ProcessFleet.cpp
+++ b/Source/Emulator/ProcessFleet.cpp
@@ -75,6 +75,12 @@
   {
     return;
   }
+  if (of.killed_at)
+  {
+    const duration<double> delay(m_record.now() - *of.killed_at);
+    m_longest_end = std::max(m_longest_end, duration_cast<milliseconds>(delay));
+    of.killed_at.reset();
+  }
   const bool was_stop = !of.stops.empty();
   for (const std::size_t stop : of.stops)
   {
@@ -146,7 +152,7 @@
   }
   target.end_expected = true;
   begin_disturbance(machine, target);
-  target.process->signal(SIGKILL);
+  kill_now(target);
 }
 
 void process_fleet::kill_all()
@@ -192,6 +198,12 @@
   const bool is_planned = !target.disturbance.has_value();
   begin_disturbance(machine, target);
   m_record.seen().disturbances[*target.disturbance].planned = is_planned;
+  kill_now(target);
+}
+
+void process_fleet::kill_now(member& target)
+{
+  target.killed_at = target.killed_at.value_or(m_record.now());
   target.process->signal(SIGKILL);
 }
 
--- a/Source/Emulator/ProcessFleet.h
+++ b/Source/Emulator/ProcessFleet.h
@@ -33,6 +33,11 @@
   void reload(const std::string& machine);
   /// Ends all processes for good.
   void shut_down();
+  /// Longest time from a SIGKILL to the end of the process: only the machine can delay it.
+  std::chrono::milliseconds longest_end() const
+  {
+    return m_longest_end;
+  }
 
 private:
   struct member
@@ -42,6 +47,7 @@
     bool end_expected = false;
     bool paused = false;
     moment started_at = 0;
+    std::optional<moment> killed_at;
     /// Numbers of the SIGTERMs that the process got.
     std::vector<std::size_t> stops;
     std::optional<std::size_t> disturbance;
@@ -53,6 +59,7 @@
   void handle_end(const std::string& machine, member& of, const std::string& reason);
   void begin_disturbance(const std::string& machine, member& of);
   void end_disturbance(member& of);
+  void kill_now(member& target);
   void enforce_grace(const std::string& machine, std::size_t stop);
 
   recorder& m_record;
@@ -60,6 +67,7 @@
   std::uint64_t m_memory_limit_bytes;
   delayed_calls m_later;
   std::map<std::string, member> m_members;
+  std::chrono::milliseconds m_longest_end{0};
   bool m_recovering = false;
   bool m_shut_down = false;
 };
