--- a/Source/Emulator/Checks.cpp
+++ b/Source/Emulator/Checks.cpp
@@ -638,19 +638,24 @@
   return unanswered && read && !sent.gave_up && !sent.behind_last_answer;
 }
 
+/// True if an unplanned fault of its machine explains it.
+bool is_disturbed_unplanned(const history& seen, const attempt& sent, const rule_bounds& bounds)
+{
+  const moment from = sent.sent - bounds.stability_window;
+  return std::any_of(seen.disturbances.begin(), seen.disturbances.end(),
+                     [&](const disturbance& fault)
+                     {
+                       return !fault.planned && fault.scope == sent.machine &&
+                              fault.from <= sent.ended && from <= fault.to;
+                     });
+}
+
 /// True if an unplanned fault, a server or the caller's own limit explains it.
 bool is_excused(const history& seen, const attempt& sent, const std::vector<const arrival*>& runs,
                 const rule_bounds& bounds)
 {
   const moment from = sent.sent - bounds.stability_window;
-  const bool machine_disturbed = std::any_of(seen.disturbances.begin(), seen.disturbances.end(),
-                                             [&](const disturbance& fault)
-                                             {
-                                               return !fault.planned &&
-                                                      fault.scope == sent.machine &&
-                                                      fault.from <= sent.ended && from <= fault.to;
-                                             });
-  return sent.ended + deadline_slack >= sent.due || machine_disturbed ||
+  return sent.ended + deadline_slack >= sent.due || is_disturbed_unplanned(seen, sent, bounds) ||
          std::any_of(runs.begin(), runs.end(),
                      [&](const arrival* run) {
                        return run->broken_off || is_disturbed(seen, run->server, from, sent.ended);
@@ -926,18 +931,12 @@
   const auto arrivals = index_arrivals(seen);
   for (const attempt& sent : seen.attempts)
   {
-    const moment from = sent.sent - bounds.stability_window;
-    const bool killed = std::any_of(seen.disturbances.begin(), seen.disturbances.end(),
-                                    [&](const disturbance& fault)
-                                    {
-                                      return !fault.planned && fault.scope == sent.machine &&
-                                             fault.from <= sent.ended && from <= fault.to;
-                                    });
     const auto ids = logged.find(sent.machine);
     const bool named = ids != logged.end() && ids->second.contains(sent.id);
     // The run ends with some requests in progress.
     const bool ended = sent.ended > 0;
-    if (ended && !killed && !named && is_cut(sent, arrivals.contains(sent.id), bounds))
+    if (ended && !named && !is_disturbed_unplanned(seen, sent, bounds) &&
+        is_cut(sent, arrivals.contains(sent.id), bounds))
     {
       out.push_back({"LOG", describe(sent) + ", ended at " + std::to_string(sent.ended) +
                                 ", was cut and is not in the log of its machine"});
