--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,3 @@
 mkdir -p build/review-2
 build() { g++ -std=c++20 -O1 -pthread -o "build/review-2/$2" "review/$1/case.cpp"; }
 build 7 continued-stream
-build 8 log-reader
