--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,6 +1,6 @@
-// Three of 22 engines fail part of their requests for 6.5 s, time after time: some streams hang after a few events,
-// some continued streams are answered with a failure. One entry, callers that read streams. Arguments: folder for
-// settings and logs, file of the record. Without trouble (TROUBLE=0) no engine fails.
+// Two of 15 engines fail part of their requests for 6.5 s, time after time: some streams hang after a few events, some
+// continued streams are answered with a failure. 15 entries, callers that read streams. Arguments: folder for settings
+// and logs, file of the record. Without trouble (TROUBLE=0) no engine fails.
 #include "../platform-2/Platform.h"
 
 #include <cmath>
@@ -11,10 +11,13 @@
 namespace
 {
 
-constexpr int engines = 22;
-constexpr int failing_engines = 3;
-// Share of the requests of a failing engine that fail.
-constexpr double failing_share = 0.4;
+constexpr int entries = 15;
+constexpr int engines = 15;
+constexpr int failing_engines = 2;
+// Share of the new streams of a failing engine that hang, while fewer than the largest share of all its requests in this
+// time of trouble have failed.
+constexpr double hanging_share = 0.35;
+constexpr double largest_failing_share = 0.45;
 // The engines fail for this long, time after time.
 constexpr double trouble_s = 6.5;
 constexpr double trouble_period_s = 8;
@@ -40,6 +43,33 @@
   return size + data + "\r\n";
 }
 
+/// Requests of one failing engine in the current time of trouble.
+struct failure_count
+{
+  std::mutex mutex;
+  int period = -1;
+  int requests = 0;
+  int failed = 0;
+
+  /// Counts a request. True if it fails: `wanted`, and the share stays within its limit.
+  bool take(int now, bool wanted)
+  {
+    const std::lock_guard lock(mutex);
+    if (now != period)
+    {
+      period = now;
+      requests = 0;
+      failed = 0;
+    }
+    ++requests;
+    const bool fails = wanted && failed + 1 <= largest_failing_share * requests;
+    failed += fails ? 1 : 0;
+    return fails;
+  }
+};
+
+failure_count failures[failing_engines];
+
 /// Whether the peer has closed.
 bool wait_for_close(stream& peer, int ms)
 {
@@ -63,9 +93,12 @@
     }
     const std::string fields = "X-Pollenyoke-Request-Id: " + request_id + "\r\nX-Pollenyoke-Response-Seal: " + id + "." +
                                request_id + "\r\nX-Pollenyoke-Weight-Versions: 1\r\n";
-    const bool is_failing = trouble && index < failing_engines && std::fmod(record.now(), trouble_period_s) < trouble_s;
-    const bool hangs = is_failing && after == 0 && std::uniform_real_distribution<>(0, 1)(random) < failing_share;
-    if (is_failing && after > 0)
+    const double into_period = std::fmod(record.now(), trouble_period_s);
+    const bool wanted = after > 0 || std::uniform_real_distribution<>(0, 1)(random) < hanging_share;
+    const bool fails = trouble && index < failing_engines && into_period < trouble_s &&
+                       failures[index].take(static_cast<int>(record.now() / trouble_period_s), wanted);
+    const bool hangs = fails && after == 0;
+    if (fails && after > 0)
     {
       record.write("run       %s at %s after event %d: answered 409", request_id.c_str(), id.c_str(), after);
       if (!peer.write(response(409, fields, "the stream cannot be continued here\n")))
@@ -83,9 +116,10 @@
     }
     for (int number = after + 1; number <= events; ++number)
     {
-      if (hangs && number == 4)
+      // It goes on when the time of trouble is over.
+      if (hangs && number == 4 &&
+          wait_for_close(peer, std::max(1, static_cast<int>(1000 * (trouble_s - std::fmod(record.now(), trouble_period_s))))))
       {
-        (void)wait_for_close(peer, 10000);
         return;
       }
       if (!peer.write(chunk(event_of(request_id, number))) || wait_for_close(peer, event_interval_ms))
@@ -267,21 +301,30 @@
         ",\"stage\":\"colocated\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}]"));
   }
   const entry_ports ports{free_port(), free_port(), free_port(), free_port()};
-  const std::string ip = "127.20.2.1";
-  write_file(work + "/entry-1.yaml", entry_settings("entry-1", ip, 0, ip + ":" + std::to_string(ports.peers),
-                                                    platform.address(), ports));
-  const std::vector<pid_t> pids{start_node(work + "/entry-1.yaml", open_log(work + "/entry-1.log"))};
-  for (int tries = 0; !is_ready(ip, ports.readiness); ++tries)
+  const auto ip = [](int i) { return "127.20.2." + std::to_string(i + 1); };
+  std::vector<pid_t> pids;
+  for (int i = 0; i < entries; ++i)
+  {
+    const std::string name = "entry-" + std::to_string(i + 1);
+    const std::string peer_port = ":" + std::to_string(ports.peers);
+    write_file(work + "/" + name + ".yaml",
+               entry_settings(name, ip(i), i % 3, ip(0) + peer_port + "," + ip(1) + peer_port + "," + ip(2) + peer_port,
+                              platform.address(), ports));
+    const int log = open_log(work + "/" + name + ".log");
+    pids.push_back(start_node(work + "/" + name + ".yaml", log));
+    close(log);
+  }
+  for (int i = 0, tries = 0; i < entries; i += is_ready(ip(i), ports.readiness) ? 1 : 0)
   {
-    if (tries == 100)
+    if (++tries == 200)
     {
-      record.write("the entry does not become ready");
+      record.write("an entry does not become ready");
       end_processes(pids);
       return 2;
     }
-    sleep_ms(100);
+    sleep_ms(20);
   }
-  record.write("the entry is ready; trouble=%d", trouble ? 1 : 0);
+  record.write("the entries are ready; trouble=%d", trouble ? 1 : 0);
   counts all;
   std::vector<std::thread> threads;
   for (int i = 0; i < callers; ++i)
@@ -298,7 +341,7 @@
           while (record.now() < end_s)
           {
             // A refused caller comes back later.
-            sleep_ms(call(record, all, connection, ip, ports.callers) ? 20 : 400);
+            sleep_ms(call(record, all, connection, ip(i % entries), ports.callers) ? 20 : 400);
           }
         });
   }
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,9 +4,9 @@
 program=build/review-2/continued-stream
 [ -x "$program" ] && [ -x target/bin/pollenyoke-node ] || { echo "build first: review/build-2.sh" >&2; exit 2; }
 work=$(mktemp -d) || exit 2
+trap 'rm -rf "$work"' EXIT
 timeout --signal=KILL 115 "$program" "$work" review/7/record.txt
 status=$?
-rm -rf "$work"
 tail -3 review/7/record.txt
 [ "$status" -le 1 ] || exit 2
 exit "$status"
