Gateway: a stream that has begun is continued by events only

Callers saw: bytes that are no answer. Cause: handle_attempt_end() forwarded each complete answer below 500 as the response, also when an earlier attempt had sent the head and events already. forward_response() then wrote a second head. Change: such an answer ends the attempt as an error of a server that is sound. The stream goes on at another server if the request has an attempt left, and is cut otherwise.

--- a/Source/Core/Gateway/RequestAnswer.cpp
+++ b/Source/Core/Gateway/RequestAnswer.cpp
@@ -190,7 +190,10 @@
   const bool is_empty = result.connection_lost && !m_attempt_answered && !m_response_started;
   const bool truncated =
       result.complete && m_relaying_events && (!m_event_relay.at_event_boundary() || is_empty);
-  if (result.complete && !server_error && !truncated)
+  // The caller has the head of an earlier attempt, so that only events can follow.
+  const bool not_continued =
+      result.complete && !server_error && m_response_started && !m_relaying_events;
+  if (result.complete && !server_error && !truncated && !not_continued)
   {
     if (m_head.status < 300)
     {
@@ -200,7 +203,7 @@
     forward_response();
     return;
   }
-  attempt_end end = server_error ? attempt_end::server_error : result.end;
+  attempt_end end = server_error || not_continued ? attempt_end::server_error : result.end;
   if (truncated)
   {
     end = attempt_end::unknown;
@@ -211,6 +214,10 @@
   {
     health = attempt_health::neutral;
   }
+  if (not_continued)
+  {
+    health = attempt_health::healthy;
+  }
   if (result.misdirected)
   {
     health = attempt_health::misdirected;
@@ -227,7 +234,12 @@
   }
   m_may_have_run += end == attempt_end::unknown || end == attempt_end::server_error ? 1U : 0U;
   m_last_end = end;
-  m_last_reason = server_error ? "server error " + std::to_string(m_head.status) : result.reason;
+  m_last_reason = result.reason;
+  if (end == attempt_end::server_error)
+  {
+    m_last_reason = (not_continued ? "stream not continued, status " : "server error ") +
+                    std::to_string(m_head.status);
+  }
   m_context.metrics.add("attempts_failed");
   apply(decide_retry(make_retry_state(end)));
 }
