Gateway: a stream without event ids is not begun again at another server

Callers saw (in a test; not reported): events twice. After some events without ids the server broke off, and the next server, which cannot be told where to go on, sent the stream from its beginning into the response. Cause: the retry policy asked whether the route may be resumed, not whether what was sent can be. Change: once an event without an id has been forwarded the stream is cut instead; comments do not count. Evidence: Gateway.ContinuedStream, stream_without_event_ids_is_not_begun_again, failed before.

--- a/Source/Core/Gateway/EventRelay.cpp
+++ b/Source/Core/Gateway/EventRelay.cpp
@@ -48,6 +48,12 @@
   return std::nullopt;
 }
 
+/// Comments keep a connection busy; to repeat one does no harm.
+bool is_comment(std::string_view event)
+{
+  return event.starts_with(':') && event.find("\ndata") == std::string_view::npos;
+}
+
 } // namespace
 
 std::string event_relay::feed(std::string_view data)
@@ -73,6 +79,10 @@
     {
       m_last_id = std::max(m_last_id.value_or(*id), *id);
     }
+    else if (!is_comment(event))
+    {
+      m_can_resume = false;
+    }
     used += end;
   }
   m_partial.erase(0, used);
@@ -99,4 +109,9 @@
   return m_last_id;
 }
 
+bool event_relay::can_resume() const
+{
+  return m_can_resume;
+}
+
 } // namespace pollenyoke::gateway
--- a/Source/Core/Gateway/EventRelay.h
+++ b/Source/Core/Gateway/EventRelay.h
@@ -24,9 +24,13 @@
   bool is_overlong() const;
   /// Highest event id that was forwarded.
   std::optional<std::uint64_t> last_id() const;
+  /// False once an event without an id was forwarded: another server cannot be told to continue
+  /// behind it.
+  bool can_resume() const;
 
 private:
   std::string m_partial;
+  bool m_can_resume = true;
   std::optional<std::uint64_t> m_last_id;
 };
 
--- a/Source/Core/Gateway/RequestExchange.cpp
+++ b/Source/Core/Gateway/RequestExchange.cpp
@@ -653,7 +653,7 @@
           .max_attempts = m_request.route->max_attempts,
           .attempt_count = m_attempt_count,
           .response_started = m_response_started,
-          .streaming = m_request.route->streaming,
+          .can_resume = m_request.route->streaming && m_event_relay.can_resume(),
           .time_remains = time_left() > response_margin};
 }
 
--- a/Source/Core/Gateway/RetryPolicy.cpp
+++ b/Source/Core/Gateway/RetryPolicy.cpp
@@ -47,7 +47,7 @@
   {
     return final_action(state);
   }
-  if (state.response_started && !state.streaming)
+  if (state.response_started && !state.can_resume)
   {
     return retry_action::abort;
   }
--- a/Source/Core/Gateway/RetryPolicy.h
+++ b/Source/Core/Gateway/RetryPolicy.h
@@ -31,7 +31,8 @@
   unsigned attempt_count = 0;
   /// Part of the response has been sent to the caller.
   bool response_started = false;
-  bool streaming = false;
+  /// Another server can continue that part.
+  bool can_resume = false;
   bool time_remains = true;
 };
 
