Gateway: a continuation lost before its first event is not the end of the stream

Callers saw (in a test; not reported): a complete stream that lacks events. The server that should have continued it answered without a length and ended before its first event. Cause: an empty answer that ends with its connection counted as whole once an earlier server had sent events. Change: only events of the same server make such an answer whole. Evidence: Gateway.ContinuedStream, continuation_lost_before_its_first_event_is_not_the_end, failed before.

--- a/Source/Core/Gateway/RequestAnswer.cpp
+++ b/Source/Core/Gateway/RequestAnswer.cpp
@@ -186,8 +186,8 @@
   m_withdrawal_timer.cancel();
   const auto now = current_time();
   const bool server_error = result.complete && m_head.status >= 500;
-  // A stream that ends with its connection is complete only if it has begun.
-  const bool is_empty = result.connection_lost && !m_attempt_answered && !m_response_started;
+  // An answer that ends with its connection is complete only if its server has sent events.
+  const bool is_empty = result.connection_lost && !m_attempt_answered;
   const bool truncated =
       result.complete && m_relaying_events && (!m_event_relay.at_event_boundary() || is_empty);
   // The caller has the head of an earlier attempt, so that only events can follow.
--- a/Source/UnitTests/Gateway/ContinuedStreamTest.cpp
+++ b/Source/UnitTests/Gateway/ContinuedStreamTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(answer_without_events_is_not_written_into_the_stream);
   CPPUNIT_TEST(stream_goes_on_behind_an_answer_without_events);
   CPPUNIT_TEST(stream_without_event_ids_is_not_begun_again);
+  CPPUNIT_TEST(continuation_lost_before_its_first_event_is_not_the_end);
   CPPUNIT_TEST_SUITE_END();
 
   using step = scripted_server::scripted_response;
