Gateway: one place refuses a second response to a request

Callers saw (in a test; not reported): a 400 or 413 behind the 404 of the same request, when the rest of a body that was rejected by its head could not be read. A caller that goes on with the connection takes it for its next answer. The 408 of a body that stalls has the same path. Cause: rejections did not look whether the request had been answered; nothing did that for all responses. Change: forwarded heads and generated responses pass begin_response(), which ends the connection instead of writing a second head, logs it and counts `second_responses`. A request that was answered by its head is not rejected again; the connection closes.

--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -142,7 +142,7 @@
 void caller_session::close_for_memory()
 {
   m_context.memory.remove(m_memory_holder);
-  if (!m_exchange && m_parser.has_head() && !m_responded_early && !has_ended())
+  if (!m_exchange && m_parser.has_head() && !m_response_begun && !has_ended())
   {
     reject(503, "callers hold too much memory", memory_retry_after);
     return;
@@ -227,7 +227,7 @@
     exchange->answer_for_stop();
     return;
   }
-  if (m_parser.has_head() && !m_parser.is_complete() && !m_responded_early && !has_ended())
+  if (m_parser.has_head() && !m_parser.is_complete() && !m_response_begun && !has_ended())
   {
     m_keep_alive = false;
     respond(503, milliseconds(0), "process stops");
@@ -330,7 +330,7 @@
     }
   }
   std::string body = m_parser.take_body();
-  if (!m_responded_early)
+  if (!m_response_begun)
   {
     m_body.append(body);
   }
@@ -341,7 +341,7 @@
     return;
   }
   m_timer.cancel();
-  if (m_responded_early)
+  if (m_response_begun)
   {
     next_request();
     return;
@@ -379,7 +379,6 @@
   }
   if (!m_route_table)
   {
-    m_responded_early = true;
     respond(503, milliseconds(500), "no configuration yet");
     return;
   }
@@ -387,14 +386,12 @@
       m_route_table->find(*head.find("Host"), async_io::path_of(head.target));
   if (route == nullptr)
   {
-    m_responded_early = true;
     respond(404, std::nullopt, "no route");
     return;
   }
   m_request.caller = identify_caller(m_route_table->config(), *route, m_request.labels.key);
   if (!m_request.caller.accepted)
   {
-    m_responded_early = true;
     respond(401, std::nullopt, "key is not known");
     return;
   }
@@ -449,9 +446,28 @@
   return m_keep_alive && (!m_context.stop_started || has_next_request());
 }
 
+/// The caller would read a second head as a part of the first body, or as the response to its next
+/// request. All responses pass here, whoever makes them.
+bool caller_session::begin_response(unsigned status)
+{
+  if (!std::exchange(m_response_begun, true))
+  {
+    return true;
+  }
+  log_warning(log_category::requests, "second response to a request; closing the connection",
+              {{"id", m_request_id}, {"status", status}});
+  m_context.metrics.add("second_responses");
+  end(outcome_cut_off);
+  return false;
+}
+
 void caller_session::write_head(const async_io::message_head& head,
                                 std::optional<std::size_t> body_size)
 {
+  if (!begin_response(head.status))
+  {
+    return;
+  }
   std::string out = "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
   for (const async_io::header_field& field : head.fields)
   {
@@ -521,6 +537,10 @@
 void caller_session::respond(unsigned status, std::optional<milliseconds> retry_after,
                              std::string_view reason)
 {
+  if (!begin_response(status))
+  {
+    return;
+  }
   std::string extra;
   if (!m_request_id.empty())
   {
@@ -549,7 +569,11 @@
   log_debug(log_category::requests, "request rejected",
             {{"id", m_request_id}, {"status", status}, {"reason", reason}});
   m_keep_alive = false;
-  respond(status, retry_after, reason);
+  // A request that was answered by its head alone needs no answer to its body.
+  if (!m_response_begun)
+  {
+    respond(status, retry_after, reason);
+  }
   close_when_sent();
 }
 
@@ -600,7 +624,7 @@
   m_parser =
       async_io::http_parser(message_kind::request, {limits().head_bytes, limits().body_bytes});
   m_head_checked = false;
-  m_responded_early = false;
+  m_response_begun = false;
   release(m_body);
   m_request_id.clear();
   restart_idle_timer();
--- a/Source/Core/Gateway/CallerSession.h
+++ b/Source/Core/Gateway/CallerSession.h
@@ -58,6 +58,9 @@
   void reject(unsigned status, std::string_view reason,
               std::optional<milliseconds> retry_after = std::nullopt);
   void respond(unsigned status, std::optional<milliseconds> retry_after, std::string_view reason);
+  /// Called before the head of each response. False, and the session has ended, if the request has
+  /// one already.
+  bool begin_response(unsigned status);
   void write_head(const async_io::message_head& head, std::optional<std::size_t> body_size);
   void write_body(std::string data);
   void finish_response();
@@ -90,8 +93,9 @@
   /// The request whose answer was queued last.
   std::string m_answered_id;
   bool m_head_checked = false;
-  /// A response has been sent already; the rest of the body is read and discarded.
-  bool m_responded_early = false;
+  /// The head of a response to the current request has been queued. What still arrives of the
+  /// request is discarded.
+  bool m_response_begun = false;
   bool m_chunked = false;
   bool m_keep_alive = true;
   /// Bytes of the next request that have been read and wait to be parsed.
--- a/Source/Core/Gateway/RequestAnswer.cpp
+++ b/Source/Core/Gateway/RequestAnswer.cpp
@@ -282,11 +282,11 @@
     }
     m_sink.head(m_head, m_body.size());
     m_sink.body(std::move(m_body));
-    if (m_ended)
-    {
-      // The connection was closed for the memory that it held.
-      return;
-    }
+  }
+  if (m_ended)
+  {
+    // The connection was closed, for example for the memory that it held.
+    return;
   }
   end_request(m_head.status >= 500 ? "server error passed on" : "answered");
   m_sink.finish();
--- a/Source/UnitTests/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Gateway/GatewayFixture.h
@@ -181,6 +181,7 @@
   async_io::tcp_connection::pointer m_caller;
   std::string m_received;
   bool m_ended = false;
+  async_io::close_reason m_end_reason{};
   /// Called when a server with a known prompt has been chosen, before it is connected to.
   std::function<void()> m_on_send;
 
@@ -251,7 +252,11 @@
                       {
                         CPPUNIT_ASSERT(outcome);
                         m_caller->start([this](std::string_view data) { m_received.append(data); },
-                                        [this](async_io::close_reason) { m_ended = true; });
+                                        [this](async_io::close_reason reason)
+                                        {
+                                          m_ended = true;
+                                          m_end_reason = reason;
+                                        });
                         m_caller->write(bytes);
                       });
   }
