Gateway: a cut stream without a length is reset

Callers saw (in a test; not reported): a part of a stream that looked whole. A caller of HTTP/1.0 gets no chunks, so that only the end of the connection ends its stream; when the server broke off or a stop cut it, the connection was closed in order. Cause: closing was taken for a sign of a failure, which it is not for such a body. Change: from the head of such a response on the socket resets when it is closed, also by the kernel when the process ends; only the end behind the last byte of a whole response is an orderly one. Evidence: Gateway.ResponseEnd: the two tests of cut streams failed before; a whole stream of 4 MB to a caller that pauses still ends in order.

--- a/Source/Core/AsyncIo/TcpConnection.cpp
+++ b/Source/Core/AsyncIo/TcpConnection.cpp
@@ -104,6 +104,7 @@
   bool tolerates_pauses = false;
   bool watching_window = false;
   bool window_closed = false;
+  bool resets_on_close = false;
 };
 
 tcp_connection::tcp_connection(event_loop& loop) : m_state(std::make_unique<state>(loop)) {}
@@ -391,11 +392,24 @@
 
 void tcp_connection::abort()
 {
-  boost::system::error_code ignored;
-  m_state->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  set_reset_on_close(true);
   close();
 }
 
+void tcp_connection::set_reset_on_close(bool enabled)
+{
+  if (std::exchange(m_state->resets_on_close, enabled) != enabled)
+  {
+    boost::system::error_code ignored;
+    m_state->socket.set_option(asio::socket_base::linger(enabled, 0), ignored);
+  }
+}
+
+void tcp_connection::reset_unless_all_is_sent()
+{
+  set_reset_on_close(true);
+}
+
 void tcp_connection::close_when_sent(close_handler on_closed)
 {
   if (!is_open())
@@ -421,6 +435,7 @@
 
 void tcp_connection::end_sending()
 {
+  set_reset_on_close(false);
   boost::system::error_code ignored;
   m_state->socket.shutdown(tcp::socket::shutdown_send, ignored);
   if (m_state->peer_ended)
--- a/Source/Core/AsyncIo/TcpConnection.h
+++ b/Source/Core/AsyncIo/TcpConnection.h
@@ -65,6 +65,9 @@
   /// Sends what is queued, ends the sending side, and reads on until the peer has received the last
   /// bytes, or a time limit is reached. `on_closed` is then called.
   void close_when_sent(close_handler on_closed = nullptr);
+  /// For data that ends with the connection: each end but that of close_when_sent() with nothing
+  /// left to send is a reset from now on, that of the process included.
+  void reset_unless_all_is_sent();
 
 private:
   friend class tcp_listener;
@@ -72,6 +75,7 @@
 
   explicit tcp_connection(event_loop& loop);
   void set_options();
+  void set_reset_on_close(bool enabled);
   void wait_readable();
   void read_available();
   void write_next();
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -489,6 +489,7 @@
   else
   {
     m_keep_alive = false;
+    m_connection->reset_unless_all_is_sent();
   }
   if (!should_keep_alive())
   {
