AsyncIo: a reset that a write has met is no orderly end

Callers saw: a part of an answer as a whole one. A server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. Cause: the kernel reports the error of a connection once. A write that meets the reset takes it (ECONNRESET), and each read behind it sees the end of the stream. Asio reports the result of a write some turns later, so that a read in between took this for the orderly end that completes an answer without a length. All calls of the platform mode use this class: gateway, store, origin, agents. Change: writes are done when the loop calls, like reads, so that their failure is known to the next read. An end of the stream behind a failed write counts as one only if the failure is EPIPE: the kernel reports it if the peer had ended its side before it reset.

--- a/Source/Core/AsyncIo/TcpConnection.cpp
+++ b/Source/Core/AsyncIo/TcpConnection.cpp
@@ -1,5 +1,6 @@
 #include "AsyncIo/TcpConnection.h"
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <utility>
@@ -10,7 +11,6 @@
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 
 #include "Common/BootClock.h"
 #include "Common/Log.h"
@@ -40,8 +40,8 @@
 constexpr std::chrono::seconds last_bytes_timeout{30};
 // A peer that still sends this much after the last answer does not read it.
 constexpr std::size_t max_lingering_bytes = 4U << 20U;
-// Bytes read from one connection before others get their turn: a peer may send as fast as this
-// process reads.
+// Bytes read from or written to one connection before others get their turn: a peer may send, or
+// read, as fast as this process reads or writes.
 constexpr std::size_t max_bytes_per_turn = 262'144;
 // Pause after a failed accept, for example when descriptors run out.
 constexpr std::chrono::milliseconds accept_pause{20};
@@ -91,6 +91,8 @@
   std::function<void()> on_sent;
   std::function<bool()> on_peer_end;
   std::deque<std::string> queue;
+  /// Bytes of the first entry of the queue that have been passed to the kernel.
+  std::size_t written = 0;
   std::size_t unsent = 0;
   /// Bytes that arrived after close_when_sent().
   std::size_t lingering = 0;
@@ -105,6 +107,16 @@
   bool watching_window = false;
   bool window_closed = false;
   bool resets_on_close = false;
+  /// Set when a write has failed; nothing is written any more.
+  boost::system::error_code write_failure;
+
+  /// The kernel tells the error of a connection once. If a write was told, each read behind it sees
+  /// the end of the stream, whether or not the peer had ended its side in order. If it had, before
+  /// a reset arrived, the error of the write is EPIPE.
+  bool ended_in_order() const
+  {
+    return !write_failure || write_failure == asio::error::broken_pipe;
+  }
 };
 
 tcp_connection::tcp_connection(event_loop& loop) : m_state(std::make_unique<state>(loop)) {}
@@ -260,7 +272,8 @@
     {
       break;
     }
-    if (failure == asio::error::eof && m_state->unsent > 0 &&
+    const bool at_end = failure == asio::error::eof && m_state->ended_in_order();
+    if (at_end && m_state->unsent > 0 && !m_state->write_failure &&
         (m_state->closing || (m_state->on_peer_end && m_state->on_peer_end())))
     {
       m_state->peer_ended = true;
@@ -268,7 +281,7 @@
     }
     if (failure)
     {
-      end(failure == asio::error::eof ? close_reason::end_of_stream : close_reason::reset);
+      end(at_end ? close_reason::end_of_stream : close_reason::reset);
       return;
     }
     if (!m_state->closing && m_state->on_data)
@@ -313,43 +326,86 @@
   }
 }
 
+/// Writes in the same thread and at the same moments as it reads, not by an operation of Asio,
+/// whose result would be seen some turns later: a read in between has to know of a failure.
 void tcp_connection::write_next()
 {
   m_state->writing = true;
-  asio::async_write(
-      m_state->socket, asio::buffer(m_state->queue.front()),
-      [self = shared_from_this()](const boost::system::error_code& failure, std::size_t written)
-      {
-        state& s = *self->m_state;
-        s.writing = false;
-        if (!s.open)
-        {
-          return;
-        }
-        if (failure)
-        {
-          self->end(close_reason::reset);
-          return;
-        }
-        s.unsent -= written;
-        s.queue.pop_front();
-        self->watch_window();
-        if (!s.queue.empty())
-        {
-          self->write_next();
-          return;
-        }
-        if (s.closing)
-        {
-          self->end_sending();
-          return;
-        }
-        if (s.on_sent)
-        {
-          const auto handler = s.on_sent;
-          handler();
-        }
-      });
+  write_available();
+}
+
+void tcp_connection::write_available()
+{
+  state& s = *m_state;
+  if (!s.open)
+  {
+    return;
+  }
+  const std::string& data = s.queue.front();
+  const std::size_t turn_end = std::min(data.size(), s.written + max_bytes_per_turn);
+  while (s.written < turn_end)
+  {
+    boost::system::error_code failure;
+    s.written +=
+        s.socket.write_some(asio::buffer(data.data() + s.written, turn_end - s.written), failure);
+    if (failure == asio::error::would_block || failure == asio::error::try_again)
+    {
+      s.socket.async_wait(tcp::socket::wait_write,
+                          [self = shared_from_this()](const boost::system::error_code& aborted)
+                          {
+                            if (!aborted)
+                            {
+                              self->write_available();
+                            }
+                          });
+      return;
+    }
+    if (failure && failure != asio::error::interrupted)
+    {
+      s.write_failure = failure;
+      s.loop.post([self = shared_from_this()] { self->handle_write_failure(); });
+      return;
+    }
+  }
+  const bool finished = s.written == data.size();
+  s.loop.post([self = shared_from_this(), finished]
+              { finished ? self->finish_write() : self->write_available(); });
+}
+
+void tcp_connection::finish_write()
+{
+  state& s = *m_state;
+  s.writing = false;
+  if (!s.open)
+  {
+    return;
+  }
+  s.unsent -= std::exchange(s.written, 0);
+  s.queue.pop_front();
+  watch_window();
+  if (!s.queue.empty())
+  {
+    write_next();
+    return;
+  }
+  if (s.closing)
+  {
+    end_sending();
+    return;
+  }
+  if (s.on_sent)
+  {
+    const auto handler = s.on_sent;
+    handler();
+  }
+}
+
+void tcp_connection::handle_write_failure()
+{
+  if (m_state->open)
+  {
+    end(close_reason::reset);
+  }
 }
 
 void tcp_connection::set_sent_handler(std::function<void()> handler)
--- a/Source/Core/AsyncIo/TcpConnection.h
+++ b/Source/Core/AsyncIo/TcpConnection.h
@@ -17,6 +17,7 @@
 {
   /// The peer ended its side in order.
   end_of_stream,
+  /// The peer reset the connection, or it was lost.
   reset,
 };
 
@@ -79,6 +80,9 @@
   void wait_readable();
   void read_available();
   void write_next();
+  void write_available();
+  void finish_write();
+  void handle_write_failure();
   void end_sending();
   void linger(std::chrono::steady_clock::time_point until);
   void watch_window();
