AsyncIo: an answer that arrived before a failed write is read

Callers saw (in a test; not reported): a 502 in place of a whole answer. A server that answers before it has read the request, and then closes, makes the next write fail; the connection was given up with the answer unread. Cause: a failed write ended the connection at once. Change: on connections that this side opened, what has arrived is read first, up to the end. What a caller that is gone had sent is dropped as before.

--- a/Source/Core/AsyncIo/TcpConnection.cpp
+++ b/Source/Core/AsyncIo/TcpConnection.cpp
@@ -107,6 +107,8 @@
   bool watching_window = false;
   bool window_closed = false;
   bool resets_on_close = false;
+  /// This side opened the connection, and expects an answer.
+  bool expects_answer = false;
   /// Set when a write has failed; nothing is written any more.
   boost::system::error_code write_failure;
 
@@ -157,6 +159,7 @@
     if (outcome)
     {
       self->m_state->open = true;
+      self->m_state->expects_answer = true;
       self->set_options();
     }
     else
@@ -308,6 +311,11 @@
       return;
     }
   }
+  if (m_state->open && m_state->write_failure)
+  {
+    end(close_reason::reset);
+    return;
+  }
   wait_readable();
 }
 
@@ -400,8 +408,15 @@
   }
 }
 
+/// What had arrived before can be a whole answer, which its server sent without reading all of the
+/// request.
 void tcp_connection::handle_write_failure()
 {
+  if (m_state->open && m_state->expects_answer && !m_state->closing)
+  {
+    read_available();
+    return;
+  }
   if (m_state->open)
   {
     end(close_reason::reset);
--- a/Source/UnitTests/AsyncIo/ConnectionEndTest.cpp
+++ b/Source/UnitTests/AsyncIo/ConnectionEndTest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST_SUITE(connection_end_test);
   CPPUNIT_TEST(end_and_reset_are_told_apart_in_each_order);
   CPPUNIT_TEST(call_takes_no_part_of_an_answer_for_a_whole_one);
+  CPPUNIT_TEST(call_gets_a_whole_answer_before_its_body_is_sent);
   CPPUNIT_TEST(connection_that_is_reset_by_its_owner_is_no_orderly_end);
   CPPUNIT_TEST_SUITE_END();
 
@@ -32,6 +33,7 @@
   enum class write_time
   {
     never,
+    before_the_first_read,
     between_two_reads,
   };
 
@@ -102,7 +104,10 @@
           out.reason = reason;
           m_loop.stop();
         });
+    connection->set_sent_handler([this] { m_loop.stop(); });
     connection->write("request");
+    run();
+    connection->set_sent_handler(nullptr);
     std::array<char, 7> request{};
     CPPUNIT_ASSERT(::recv(peer, request.data(), request.size(), MSG_PEEK | MSG_WAITALL) > 0);
     CPPUNIT_ASSERT(::send(peer, "part", 4, MSG_NOSIGNAL) == 4);
@@ -111,6 +116,10 @@
       ::shutdown(peer, SHUT_WR);
     }
     ::close(peer);
+    if (when == write_time::before_the_first_read)
+    {
+      connection->write("more");
+    }
     run();
     return out;
   }
@@ -140,7 +149,8 @@
   /// kernel reports it once, and reads behind it see the end of the stream.
   void end_and_reset_are_told_apart_in_each_order()
   {
-    for (const auto when : {write_time::never, write_time::between_two_reads})
+    for (const auto when :
+         {write_time::never, write_time::before_the_first_read, write_time::between_two_reads})
     {
       for (const bool in_order : {false, true})
       {
@@ -164,6 +174,17 @@
     }
   }
 
+  void call_gets_a_whole_answer_before_its_body_is_sent()
+  {
+    const test::early_server server(test::answer_end::in_order);
+    for (unsigned i = 0; i < calls; ++i)
+    {
+      const auto answer = call(server);
+      CPPUNIT_ASSERT(answer);
+      CPPUNIT_ASSERT_EQUAL(test::early_server::answer_bytes, answer->body.size());
+    }
+  }
+
   void connection_that_is_reset_by_its_owner_is_no_orderly_end()
   {
     for (const bool all_is_sent : {false, true})
--- a/Source/UnitTests/Gateway/EarlyAnswerTest.cpp
+++ b/Source/UnitTests/Gateway/EarlyAnswerTest.cpp
@@ -17,6 +17,7 @@
 {
   CPPUNIT_TEST_SUITE(early_answer_test);
   CPPUNIT_TEST(part_of_an_answer_that_is_reset_is_not_forwarded);
+  CPPUNIT_TEST(whole_answer_is_forwarded_though_the_upload_is_not);
   CPPUNIT_TEST(upload_that_its_caller_resets_is_not_forwarded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -93,6 +94,17 @@
     }
   }
 
+  /// Guards against an answer that is dropped because a write failed before it was read.
+  void whole_answer_is_forwarded_though_the_upload_is_not()
+  {
+    send_uploads(answer_end::in_order);
+    for (const auto& answer : m_answers)
+    {
+      CPPUNIT_ASSERT_EQUAL(200U, answer.head.status);
+      CPPUNIT_ASSERT_EQUAL(early_server::answer_bytes, answer.body.size());
+    }
+  }
+
   /// The other direction: what has arrived of a request is no request.
   void upload_that_its_caller_resets_is_not_forwarded()
   {
