Gateway: an answer that does not continue a stream is no sign of a crash

What a failed attempt says about its server has a function of its own. Evidence: the suites ContinuedStream, CrashQuarantine, TaintedPrompt, Forwarding and eight others of Gateway pass; no test shows the miscount.

--- a/Source/Core/Gateway/RequestAnswer.cpp
+++ b/Source/Core/Gateway/RequestAnswer.cpp
@@ -179,6 +179,22 @@
   m_migrating = false;
 }
 
+attempt_health request_exchange::health_after(const attempt_result& failed, attempt_end end) const
+{
+  if (failed.unreachable)
+  {
+    return attempt_health::unreachable;
+  }
+  if (failed.misdirected)
+  {
+    return attempt_health::misdirected;
+  }
+  const bool withheld = end == attempt_end::not_sent;
+  const bool is_neutral =
+      end == attempt_end::not_executed || failed.stale_connection || m_migrating || withheld;
+  return is_neutral ? attempt_health::neutral : attempt_health::failed;
+}
+
 void request_exchange::handle_attempt_end(const attempt_result& result)
 {
   m_attempt = nullptr;
@@ -208,26 +224,9 @@
   {
     end = attempt_end::unknown;
   }
-  attempt_health health = attempt_health::failed;
-  const bool withheld = end == attempt_end::not_sent && !result.unreachable;
-  if (end == attempt_end::not_executed || result.stale_connection || m_migrating || withheld)
-  {
-    health = attempt_health::neutral;
-  }
-  if (not_continued)
-  {
-    health = attempt_health::healthy;
-  }
-  if (result.misdirected)
-  {
-    health = attempt_health::misdirected;
-  }
-  if (result.unreachable)
-  {
-    health = attempt_health::unreachable;
-  }
+  const attempt_health health = not_continued ? attempt_health::healthy : health_after(result, end);
   m_context.backends.end_attempt(m_server, health, now, result.at_fault);
-  if (result.connection_lost && !m_attempt_proven)
+  if (result.connection_lost && !not_continued && !m_attempt_proven)
   {
     m_server_lost = !result.stale_connection;
     m_context.crashes.add_lost_request(m_server, m_content);
--- a/Source/Core/Gateway/RequestExchange.h
+++ b/Source/Core/Gateway/RequestExchange.h
@@ -107,6 +107,8 @@
   void handle_head(const async_io::message_head& head);
   void handle_body(const std::string& data);
   void handle_attempt_end(const attempt_result& result);
+  /// What a failed attempt says about its server.
+  attempt_health health_after(const attempt_result& failed, attempt_end end) const;
   void forward_response();
   void flush_stream_head();
   void restart_silence_timer();
