Transport: a test of answers without a length that are reset

The own mode takes no part of such an answer for a whole one: cpp-httplib gives a call up at the first failed write and reads only behind a whole request.

--- a/Source/UnitTests/Transport/TransportTest.cpp
+++ b/Source/UnitTests/Transport/TransportTest.cpp
@@ -14,6 +14,7 @@
 #include "Transport/HttpClient.h"
 #include "Transport/HttpServer.h"
 #include "Transport/MessageNode.h"
+#include "UnitTests/EarlyServer.h"
 
 namespace
 {
@@ -134,6 +135,7 @@
   CPPUNIT_TEST(broken_stream_is_an_error);
   CPPUNIT_TEST(idle_connections_do_not_block_others);
   CPPUNIT_TEST(impossible_status_is_no_answer);
+  CPPUNIT_TEST(part_of_an_answer_that_is_reset_is_an_error);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against reordering by the worker pool.
@@ -277,6 +279,30 @@
     CPPUNIT_ASSERT(client.send({}).has_value());
   }
 
+  // Guards against parts of answers without a length that are taken for whole ones, while the
+  // request is being sent or behind it.
+  void part_of_an_answer_that_is_reset_is_an_error()
+  {
+    constexpr std::size_t short_body = 20'000;
+    constexpr std::size_t long_body = 1'500'000;
+    const test::early_server broken(test::answer_end::reset);
+    const test::early_server sound(test::answer_end::in_order);
+    const auto send = [](const test::early_server& server, std::size_t body_bytes)
+    {
+      http_client client({"127.0.0.1", server.port()}, {.keep_alive = false});
+      return client.send({.method = "POST", .body = std::string(body_bytes, 'b')});
+    };
+    constexpr unsigned calls = 30;
+    for (unsigned i = 0; i < calls; ++i)
+    {
+      CPPUNIT_ASSERT(!send(broken, short_body).has_value());
+      CPPUNIT_ASSERT(!send(broken, long_body).has_value());
+      const auto whole = send(sound, short_body);
+      CPPUNIT_ASSERT(whole.has_value());
+      CPPUNIT_ASSERT_EQUAL(test::early_server::answer_bytes, whole->body.size());
+    }
+  }
+
   /// Guards against numbers that are no status and reach callers as one.
   void impossible_status_is_no_answer()
   {
