Gateway: the log tells whether a server's connection was reset or ended

A cut answer was logged as "connection ended within the answer" in both cases, so that the log did not show which of them an answer without a length had met.

--- a/Source/Core/Gateway/BackendAttempt.cpp
+++ b/Source/Core/Gateway/BackendAttempt.cpp
@@ -265,9 +265,10 @@
   }
   // A server that closes an idle connection does so before it has read the request.
   const bool at_once = current_time() - m_sent_at < stale_close_time;
+  const bool was_reset = reason == async_io::close_reason::reset;
   end({.stale_connection = m_reused && !m_data_received && at_once,
-       .reason = m_data_received ? "connection ended within the answer"
-                                 : "connection ended before the answer"});
+       .reason = std::string(was_reset ? "connection reset" : "connection ended") +
+                 (m_data_received ? " within the answer" : " before the answer")});
 }
 
 void backend_attempt::complete()
