--- a/Source/Emulator/AnswerContent.cpp
+++ b/Source/Emulator/AnswerContent.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned min_events = 4;
 constexpr unsigned max_events = 20;
 constexpr std::size_t filler_lines = 12;
+// Beyond what the kernel buffers for a server that does not read.
+constexpr std::size_t long_body_bytes = 3'000'000;
 
 std::string mark(std::string_view text)
 {
@@ -51,6 +53,17 @@
   return out;
 }
 
+std::string make_request_body(std::string_view request)
+{
+  const std::string unit = make_body(request, 0);
+  std::string out = unit;
+  while (request.starts_with(upload_prefix) && out.size() < long_body_bytes)
+  {
+    out += unit;
+  }
+  return out;
+}
+
 unsigned event_count(std::string_view request)
 {
   const std::string digits = mark(request).substr(0, 4);
--- a/Source/Emulator/AnswerContent.h
+++ b/Source/Emulator/AnswerContent.h
@@ -11,6 +11,9 @@
 /// Answers whose content shows to which request and run they belong, and whether they are whole.
 std::string make_signature(std::string_view request, std::uint64_t run);
 std::string make_body(std::string_view request, std::uint64_t run);
+/// Ids of requests with long bodies begin so.
+constexpr char upload_prefix = 'u';
+std::string make_request_body(std::string_view request);
 /// Number of events of the stream that answers a request, the same for each of its runs.
 unsigned event_count(std::string_view request);
 std::string make_event(std::string_view request, std::uint64_t run, unsigned number);
--- a/Source/Emulator/AnswerReader.cpp
+++ b/Source/Emulator/AnswerReader.cpp
@@ -72,7 +72,7 @@
   {
     return out.append("\r\n");
   }
-  const std::string body = make_body(id, 0);
+  const std::string body = make_request_body(id);
   if (form == body_form::with_length)
   {
     async_io::append_field(out, "Content-Length", std::to_string(body.size()));
--- a/Source/Emulator/BackendServer.cpp
+++ b/Source/Emulator/BackendServer.cpp
@@ -23,6 +23,8 @@
 // A leaving server serves on a little longer than it has to.
 constexpr milliseconds after_drain{400};
 constexpr milliseconds usual_deadline{6000};
+// The caller still writes its request then.
+constexpr int max_early_reset_us = 1000;
 constexpr std::string_view instance_field = "X-Pollenyoke-Instance-Id";
 
 std::uint64_t unix_ms()
@@ -59,21 +61,23 @@
 }
 
 /// The content of a caller's request follows from its id, so that a change shows.
-std::string changed_parts(const http_request& request)
+std::string changed_head(const http_request& request)
 {
   if (request.head.find(names::caller_key) != nullptr)
   {
     return "the caller's key was passed on";
   }
   const std::string id = field_or(request, names::request_id);
-  const bool has_body = request.head.method == "POST";
-  if (request.body != (has_body ? make_body(id, 0) : ""))
-  {
-    return "the body is not the caller's";
-  }
   return request.head.target.ends_with("?of=" + id) ? "" : "the query is not the caller's";
 }
 
+std::string changed_body(const http_request& request)
+{
+  const std::string id = field_or(request, names::request_id);
+  const std::string sent = request.head.method == "POST" ? make_request_body(id) : "";
+  return request.body == sent ? "" : "the body is not the caller's";
+}
+
 } // namespace
 
 std::string answer_fields(const server_job& job, std::string_view more)
@@ -118,9 +122,12 @@
 
 backend_server::backend_server(const server_environment& environment, server_identity identity)
     : m_environment(environment), m_identity(std::move(identity)),
-      m_server(environment.loop,
-               [this](http_request request, const std::shared_ptr<http_reply>& reply)
-               { handle(std::move(request), reply); }),
+      m_server(
+          environment.loop,
+          [this](http_request request, const std::shared_ptr<http_reply>& reply)
+          { handle(std::move(request), reply); },
+          [this](const async_io::message_head& head, const std::shared_ptr<http_reply>& reply)
+          { return answer_early(head, reply); }),
       m_later(environment.loop), m_removals(environment.loop),
       m_random(environment.seed ^ std::hash<transport::endpoint>{}(m_identity.address))
 {
@@ -294,7 +301,7 @@
                                                    .service = m_identity.service,
                                                    .at = m_environment.record.now(),
                                                    .team = field_or(request, names::team),
-                                                   .changed = changed_parts(request)});
+                                                   .changed = changed_head(request)});
   job->request = std::move(request);
   return job;
 }
@@ -320,7 +327,12 @@
     reply->send(421, fields, {});
     return;
   }
+  const std::string changed = changed_body(request);
   const auto job = make_job(std::move(request), reply);
+  if (!changed.empty())
+  {
+    m_environment.record.arrival_at(job->arrival).changed = changed;
+  }
   const std::chrono::duration<double> pause = m_paused_until - steady_clock::now();
   if (pause.count() > 0)
   {
@@ -330,15 +342,49 @@
     refuse(*job, 503, fields);
     return;
   }
-  const bool faulty = m_fault != server_fault::none &&
-                      std::uniform_real_distribution<double>(0, 1)(m_random) < m_fault_share;
-  if (!faulty || !answer_faulty(job))
+  if (!draw_fault() || !answer_faulty(job))
   {
     accept(job);
   }
   m_earlier_request = job->id;
 }
 
+bool backend_server::draw_fault()
+{
+  return m_fault != server_fault::none &&
+         std::uniform_real_distribution<double>(0, 1)(m_random) < m_fault_share;
+}
+
+/// Answers at the head of a request. Returns false if its body is to be read.
+bool backend_server::answer_early(const async_io::message_head& head,
+                                  const std::shared_ptr<http_reply>& reply)
+{
+  const bool whole = m_fault == server_fault::answers_early;
+  const auto* expected = head.find(names::expected_server);
+  if ((!whole && m_fault != server_fault::breaks_off_early) ||
+      head.find(names::request_id) == nullptr || expected == nullptr || *expected != m_id ||
+      steady_clock::now() < m_paused_until || !draw_fault())
+  {
+    return false;
+  }
+  const auto job = make_job({head, {}}, reply);
+  begin_run(m_environment.record, *job);
+  const std::string body = make_body(job->id, job->run);
+  reply->send_raw("HTTP/1.1 200 OK\r\n" + answer_fields(*job) + "\r\n" +
+                  body.substr(0, whole ? body.size() : body.size() / 2));
+  if (whole)
+  {
+    reply->end_connection();
+    end_run(m_environment.record, *job);
+    return true;
+  }
+  const std::chrono::microseconds delay(
+      std::uniform_int_distribution<>(0, max_early_reset_us)(m_random));
+  m_later.after(delay, [reply] { reply->reset(); });
+  break_off_run(m_environment.record, *job);
+  return true;
+}
+
 /// Returns false if the request is to be served as usual after all.
 bool backend_server::answer_faulty(const std::shared_ptr<server_job>& job)
 {
@@ -346,7 +392,17 @@
   switch (m_fault)
   {
   case server_fault::none:
+  case server_fault::answers_early:
+  case server_fault::breaks_off_early:
     return false;
+  case server_fault::refuses_continuations:
+    if (job->request.head.find(names::last_event) == nullptr)
+    {
+      return false;
+    }
+    begin_run(m_environment.record, *job);
+    reply.send(409, answer_fields(*job), "the stream cannot be continued here\n");
+    break;
   case server_fault::errors:
     begin_run(m_environment.record, *job);
     reply.send(500, answer_fields(*job), "failed");
--- a/Source/Emulator/BackendServer.h
+++ b/Source/Emulator/BackendServer.h
@@ -35,6 +35,12 @@
   endless_body,
   /// Sends the answer to another request first.
   extra_answer,
+  /// Answers 409 where a stream is to be continued.
+  refuses_continuations,
+  /// Answers before the body of a request is in, without a length.
+  answers_early,
+  /// The same, and resets the connection within the answer.
+  breaks_off_early,
 };
 
 /// What all answers of an instance say.
@@ -146,7 +152,10 @@
   /// Removes the record of an instance that is gone, as soon as the store can be reached.
   void remove_record(const std::string& id);
   void handle(http_request request, const std::shared_ptr<http_reply>& reply);
+  /// Whether the fault, if there is one, concerns the next request.
+  bool draw_fault();
   bool answer_faulty(const std::shared_ptr<server_job>& job);
+  bool answer_early(const async_io::message_head& head, const std::shared_ptr<http_reply>& reply);
   std::shared_ptr<server_job> make_job(http_request request,
                                        const std::shared_ptr<http_reply>& reply);
   std::string notice_fields() const;
--- a/Source/Emulator/CallerPool.cpp
+++ b/Source/Emulator/CallerPool.cpp
@@ -79,10 +79,16 @@
   return std::uniform_real_distribution<double>(0, 1)(m_random);
 }
 
-std::string caller_pool::make_id()
+bool caller_pool::draw_upload(const protocol::route& route)
+{
+  return m_upload_share > 0 && kind_of(route) == request_kind::once && !route.streaming &&
+         random_fraction() < m_upload_share;
+}
+
+std::string caller_pool::make_id(bool is_upload)
 {
   std::array<char, 24> text{};
-  (void)std::snprintf(text.data(), text.size(), "r%llx-%04llx",
+  (void)std::snprintf(text.data(), text.size(), "%c%llx-%04llx", is_upload ? upload_prefix : 'r',
                       static_cast<unsigned long long>(++m_next_id),
                       static_cast<unsigned long long>(m_random() & 0xffffU));
   return text.data();
@@ -114,6 +120,11 @@
   m_impatient_share = share.value_or(m_deployment.impatient_share);
 }
 
+void caller_pool::set_upload_share(double share)
+{
+  m_upload_share = share;
+}
+
 std::size_t caller_pool::ready_entries() const
 {
   return static_cast<std::size_t>(std::count_if(
@@ -222,7 +233,8 @@
   caller_request request = flow->request;
   request.deadline = left;
   std::make_shared<caller_attempt>(m_loop, m_record, m_pool)
-      ->start(request, make_id(), entry->second.at.name, proxy_address(entry->second.at), may_reuse,
+      ->start(request, make_id(draw_upload(request.route)), entry->second.at.name,
+              proxy_address(entry->second.at), may_reuse,
               [this, flow](const attempt_outcome& outcome) { finish_attempt(flow, outcome); });
 }
 
--- a/Source/Emulator/CallerPool.h
+++ b/Source/Emulator/CallerPool.h
@@ -31,6 +31,8 @@
   void set_load(double factor);
   /// Share of the callers who leave early; empty for the deployment's.
   void set_impatient_share(std::optional<double> share);
+  /// Share of the requests of plain services that have long bodies.
+  void set_upload_share(double share);
   /// A request as the callers of the fleet send it; without a key if there is none yet.
   caller_request draw_request();
   /// Entries that said at the last question that they are ready.
@@ -68,7 +70,8 @@
   void accept_addresses(const std::string& domain, std::vector<transport::endpoint> addresses);
   void ask_readiness();
   void probe(entry_state& entry);
-  std::string make_id();
+  bool draw_upload(const protocol::route& route);
+  std::string make_id(bool is_upload = false);
   double random_fraction();
 
   async_io::event_loop& m_loop;
@@ -85,6 +88,7 @@
   std::map<transport::endpoint, entry_state> m_entries;
   double m_load = 1;
   double m_impatient_share = 0;
+  double m_upload_share = 0;
   std::uint64_t m_next_id = 0;
   bool m_stopped = false;
 };
--- a/Source/Emulator/FaultInjector.cpp
+++ b/Source/Emulator/FaultInjector.cpp
@@ -87,6 +87,8 @@
     {fault_kind::load_disturbed, &fault_injector::disturb_load},
     {fault_kind::server_limited, &fault_injector::limit_server},
     {fault_kind::store_restored, &fault_injector::restore_store},
+    {fault_kind::early_answers, &fault_injector::answer_early},
+    {fault_kind::failed_continuations, &fault_injector::fail_continuations},
     {fault_kind::stop_series, &fault_injector::stop_series},
 };
 
@@ -306,21 +308,50 @@
   }
 }
 
-void fault_injector::trouble_server(backend_server& server, const planned_fault& fault)
+void fault_injector::trouble_server(backend_server& server, server_fault trouble,
+                                    const planned_fault& fault)
 {
   disturb(server.id(), fault.duration);
-  server.set_fault(pick(troubles, fault.choice / 8), std::max(0.2, fault.share));
+  server.set_fault(trouble, std::max(0.2, fault.share));
   after(fault.duration, [&server] { server.set_fault(server_fault::none, 0); });
 }
 
 void fault_injector::trouble_engine(const planned_fault& fault)
 {
-  trouble_server(*m_run.engines()[fault.choice % m_run.engines().size()], fault);
+  trouble_server(*m_run.engines()[fault.choice % m_run.engines().size()],
+                 pick(troubles, fault.choice / 8), fault);
 }
 
 void fault_injector::trouble_desk(const planned_fault& fault)
 {
-  trouble_server(*m_run.desks()[fault.choice % m_run.desks().size()], fault);
+  trouble_server(*m_run.desks()[fault.choice % m_run.desks().size()],
+                 pick(troubles, fault.choice / 8), fault);
+}
+
+void fault_injector::answer_early(const planned_fault& fault)
+{
+  constexpr std::array ways{server_fault::answers_early, server_fault::breaks_off_early,
+                            server_fault::breaks_off_early};
+  for (const auto& desk : m_run.desks())
+  {
+    trouble_server(*desk, pick(ways, fault.choice), fault);
+  }
+}
+
+void fault_injector::fail_continuations(const planned_fault& fault)
+{
+  const auto& engines = m_run.engines();
+  for (std::size_t i = 0; i < engines.size(); ++i)
+  {
+    if (i != fault.choice % engines.size())
+    {
+      trouble_server(*engines[i], server_fault::refuses_continuations, fault);
+    }
+  }
+  auto& broken = *engines[fault.choice % engines.size()];
+  disturb(broken.id(), fault.duration);
+  after(fault.duration / 2,
+        [&broken] { broken.crash(milliseconds(500), connection_fault::refused, false); });
 }
 
 void fault_injector::slow_engine(const planned_fault& fault)
--- a/Source/Emulator/FaultInjector.h
+++ b/Source/Emulator/FaultInjector.h
@@ -71,10 +71,12 @@
   void disturb_load(const planned_fault& fault);
   void limit_server(const planned_fault& fault);
   void restore_store(const planned_fault& fault);
+  void answer_early(const planned_fault& fault);
+  void fail_continuations(const planned_fault& fault);
   void stop_series(const planned_fault& fault);
 
   void set_link_faults(const planned_fault& fault, const stand_ins::relay_faults& faults);
-  void trouble_server(backend_server& server, const planned_fault& fault);
+  void trouble_server(backend_server& server, server_fault trouble, const planned_fault& fault);
   /// A server of any service.
   backend_server& choose_server(const planned_fault& fault) const;
 
--- a/Source/Emulator/FaultPlan.cpp
+++ b/Source/Emulator/FaultPlan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <random>
+#include <span>
 
 namespace pollenyoke::emulator
 {
@@ -49,7 +50,7 @@
   unsigned weight;
 };
 
-constexpr std::array<named_fault, 34> faults = {{
+constexpr std::array<named_fault, 36> faults = {{
     {fault_kind::kill_processes, "kill_processes", 4},
     {fault_kind::kill_all, "kill_all", 0},
     {fault_kind::stop_process, "stop_process", 4},
@@ -83,6 +84,8 @@
     {fault_kind::store_restored, "store_restored", 0},
     {fault_kind::server_limited, "server_limited", 0},
     {fault_kind::load_disturbed, "load_disturbed", 0},
+    {fault_kind::early_answers, "early_answers", 0},
+    {fault_kind::failed_continuations, "failed_continuations", 0},
     {fault_kind::stop_series, "stop_series", 0},
 }};
 
@@ -209,27 +212,23 @@
   return plan;
 }
 
-std::vector<planned_fault> draw_stop_plan(std::uint64_t seed, double duration)
+namespace
+{
+
+struct recurring_fault
+{
+  fault_kind kind;
+  double mean_gap_s;
+};
+
+std::vector<planned_fault> draw_recurring(std::uint64_t seed,
+                                          std::span<const recurring_fault> kinds, double duration)
 {
-  struct recurring
-  {
-    fault_kind kind;
-    double mean_gap_s;
-  };
-  // A series lasts up to the grace time, so that several overlap.
-  constexpr std::array<recurring, 8> work = {{{fault_kind::stop_series, 4},
-                                              {fault_kind::reload_process, 4},
-                                              {fault_kind::config_series, 4},
-                                              {fault_kind::burst, 5},
-                                              {fault_kind::new_weights, 10},
-                                              {fault_kind::long_config, 20},
-                                              {fault_kind::server_wants_pause, 6},
-                                              {fault_kind::server_silent, 6}}};
   constexpr double first_s = 1;
   std::mt19937_64 random(seed);
   std::uniform_real_distribution<double> fraction(0, 1);
   std::vector<planned_fault> plan;
-  for (const recurring& one : work)
+  for (const recurring_fault& one : kinds)
   {
     std::exponential_distribution<double> gap(1 / one.mean_gap_s);
     for (double at = first_s + gap(random); at < duration - quiet_end_s; at += gap(random))
@@ -246,4 +245,31 @@
   return plan;
 }
 
+} // namespace
+
+std::vector<planned_fault> draw_stop_plan(std::uint64_t seed, double duration)
+{
+  // A series lasts up to the grace time, so that several overlap.
+  constexpr std::array<recurring_fault, 8> work = {{{fault_kind::stop_series, 4},
+                                                    {fault_kind::reload_process, 4},
+                                                    {fault_kind::config_series, 4},
+                                                    {fault_kind::burst, 5},
+                                                    {fault_kind::new_weights, 10},
+                                                    {fault_kind::long_config, 20},
+                                                    {fault_kind::server_wants_pause, 6},
+                                                    {fault_kind::server_silent, 6}}};
+  return draw_recurring(seed, work, duration);
+}
+
+std::vector<planned_fault> draw_answer_plan(std::uint64_t seed, double duration)
+{
+  constexpr std::array<recurring_fault, 6> troubles = {{{fault_kind::early_answers, 2},
+                                                        {fault_kind::failed_continuations, 3},
+                                                        {fault_kind::desk_trouble, 8},
+                                                        {fault_kind::server_silent, 4},
+                                                        {fault_kind::impatient_callers, 8},
+                                                        {fault_kind::stop_process, 10}}};
+  return draw_recurring(seed, troubles, duration);
+}
+
 } // namespace pollenyoke::emulator
--- a/Source/Emulator/FaultPlan.h
+++ b/Source/Emulator/FaultPlan.h
@@ -49,6 +49,10 @@
   /// An agent stands still, or its engine falls silent, while it reads staged pieces back; some of
   /// them turn bad.
   load_disturbed,
+  /// Servers answer long requests before these are in, some of them in part only.
+  early_answers,
+  /// Engines answer 409 to streams that are to be continued, beside others that break streams off.
+  failed_continuations,
   /// Processes get SIGTERM one after the other, some of them again, and SIGHUP around it.
   stop_series,
 };
@@ -73,5 +77,7 @@
 /// Draws planned work only: series of stops that overlap, beside changes of the configuration and
 /// of weights, servers that leave or want pauses, and more requests than the servers can take.
 std::vector<planned_fault> draw_stop_plan(std::uint64_t seed, double duration);
+/// Draws servers that answer uploads early, break answers off or cannot continue streams.
+std::vector<planned_fault> draw_answer_plan(std::uint64_t seed, double duration);
 
 } // namespace pollenyoke::emulator
--- a/Source/Emulator/HttpServer.cpp
+++ b/Source/Emulator/HttpServer.cpp
@@ -34,13 +34,14 @@
 
 struct http_server::state
 {
-  state(async_io::event_loop& owner, handler callback)
-      : loop(owner), on_request(std::move(callback))
+  state(async_io::event_loop& owner, handler callback, early_handler early)
+      : loop(owner), on_request(std::move(callback)), on_head(std::move(early))
   {
   }
 
   async_io::event_loop& loop;
   handler on_request;
+  early_handler on_head;
   connection_fault fault = connection_fault::none;
   bool holds = false;
   std::unique_ptr<async_io::tcp_listener> listener;
@@ -170,6 +171,14 @@
     end();
   }
 
+  void end_connection() override
+  {
+    m_answering = false;
+    m_on_gone = nullptr;
+    m_connection->close_when_sent();
+    end();
+  }
+
   void on_caller_gone(std::function<void()> handler) override
   {
     m_on_gone = std::move(handler);
@@ -207,16 +216,35 @@
       return;
     }
     const auto owner = m_owner.lock();
-    if (!m_parser.is_complete() || !owner)
+    if (!owner)
+    {
+      return;
+    }
+    if (!m_parser.is_complete())
     {
+      answer_early(*owner);
       return;
     }
     m_answering = true;
     owner->on_request({m_parser.head(), m_parser.take_body()}, shared_from_this());
   }
 
+  void answer_early(const state& owner)
+  {
+    if (!m_parser.has_head() || std::exchange(m_head_seen, true) || !owner.on_head)
+    {
+      return;
+    }
+    m_answering = owner.on_head(m_parser.head(), shared_from_this());
+    if (m_answering && m_connection->is_open())
+    {
+      m_connection->pause_reading();
+    }
+  }
+
   void finish()
   {
+    m_head_seen = false;
     if (!m_answering)
     {
       return;
@@ -237,14 +265,15 @@
   async_io::http_parser m_parser;
   std::function<void()> m_on_gone;
   bool m_answering = false;
+  bool m_head_seen = false;
   bool m_gone = false;
   bool m_silent = false;
   bool m_holding = false;
   std::string m_held_output;
 };
 
-http_server::http_server(async_io::event_loop& loop, handler on_request)
-    : m_state(std::make_shared<state>(loop, std::move(on_request)))
+http_server::http_server(async_io::event_loop& loop, handler on_request, early_handler on_head)
+    : m_state(std::make_shared<state>(loop, std::move(on_request), std::move(on_head)))
 {
 }
 
--- a/Source/Emulator/HttpServer.h
+++ b/Source/Emulator/HttpServer.h
@@ -38,6 +38,8 @@
   /// Sends `head`, then `filler` until the caller closes.
   virtual void send_endless(std::string head, std::string filler) = 0;
   virtual void reset() = 0;
+  /// Ends the connection in order behind what was sent.
+  virtual void end_connection() = 0;
   /// `handler` is called once when the caller closes before the answer is complete.
   virtual void on_caller_gone(std::function<void()> handler) = 0;
   virtual bool caller_is_gone() const = 0;
@@ -61,8 +63,12 @@
 {
 public:
   using handler = std::function<void(http_request, std::shared_ptr<http_reply>)>;
+  /// Called with the head of a request whose body is not in yet. If it returns true, the request is
+  /// answered through the reply, and its body is not read.
+  using early_handler =
+      std::function<bool(const async_io::message_head&, const std::shared_ptr<http_reply>&)>;
 
-  http_server(async_io::event_loop& loop, handler on_request);
+  http_server(async_io::event_loop& loop, handler on_request, early_handler on_head = nullptr);
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
--- a/Source/Emulator/Main.cpp
+++ b/Source/Emulator/Main.cpp
@@ -42,8 +42,9 @@
   --templates DIR    Templates of its settings [default: deploy].
   --work DIR         Folder for settings and logs [default: /tmp/pollenyoke-emulator].
   --seed N           Seed of everything that is drawn [default: 1].
-  --plan PLAN        Faults that are drawn: mixed, loads (disturbances at the steps of loads), or
-                     stops (planned stops in series) [default: mixed].
+  --plan PLAN        Faults that are drawn: mixed, loads (disturbances at the steps of loads),
+                     stops (planned stops in series), or answers (early, broken and failed ones)
+                     [default: mixed].
   --duration S       Seconds with callers [default: 60].
   --processes N      Processes of the system, a third of them entries.
   --log-level LEVEL  Lowest level of this program's own log lines [default: warning].
@@ -101,11 +102,12 @@
   static const std::map<std::string, emulator::soak_plan> plans = {
       {"mixed", emulator::soak_plan::mixed},
       {"loads", emulator::soak_plan::loads},
-      {"stops", emulator::soak_plan::stops}};
+      {"stops", emulator::soak_plan::stops},
+      {"answers", emulator::soak_plan::answers}};
   const auto plan = plans.find(given.at("--plan").asString());
   if (plan == plans.end())
   {
-    return fail(error_code::invalid_argument, "--plan: must be mixed, loads or stops");
+    return fail(error_code::invalid_argument, "--plan: must be mixed, loads, stops or answers");
   }
   out.plan = plan->second;
   out.run.seed = *seed;
--- a/Source/Emulator/Soak.cpp
+++ b/Source/Emulator/Soak.cpp
@@ -90,7 +90,11 @@
     }
     else
     {
-      const auto draw = m_options.plan == soak_plan::stops ? draw_stop_plan : draw_plan;
+      const auto draw = m_options.plan == soak_plan::stops     ? draw_stop_plan
+                        : m_options.plan == soak_plan::answers ? draw_answer_plan
+                                                               : draw_plan;
+      constexpr double upload_share = 0.8;
+      m_run.callers().set_upload_share(m_options.plan == soak_plan::answers ? upload_share : 0);
       m_injector = std::make_unique<fault_injector>(m_loop, m_run,
                                                     draw(m_options.run.seed, m_options.duration));
       m_injector->start();
--- a/Source/Emulator/Soak.h
+++ b/Source/Emulator/Soak.h
@@ -30,6 +30,8 @@
   loads,
   /// Planned stops in series, and other planned work beside them.
   stops,
+  /// Answers that come early, break off or do not continue a stream.
+  answers,
 };
 
 struct soak_options
--- a/Source/UnitTests/Emulator/LoadStepsTest.cpp
+++ b/Source/UnitTests/Emulator/LoadStepsTest.cpp
@@ -52,6 +52,7 @@
     m_body = std::move(bytes);
   }
   void send_endless(std::string /*head*/, std::string /*filler*/) override {}
+  void end_connection() override {}
   void reset() override
   {
     m_reset = true;
