--- a/Source/Core/AsyncIo/TcpConnection.cpp
+++ b/Source/Core/AsyncIo/TcpConnection.cpp
@@ -334,8 +334,8 @@
   }
 }
 
-/// Writes in the same thread and at the same moments as it reads, not by an operation of Asio,
-/// whose result would be seen some turns later: a read in between has to know of a failure.
+/// Writes when the loop calls, like read_available(). An operation of Asio would report a failure
+/// some turns later, and a read in between has to know of it.
 void tcp_connection::write_next()
 {
   m_state->writing = true;
--- a/Source/Core/Gateway/CallerSession.cpp
+++ b/Source/Core/Gateway/CallerSession.cpp
@@ -447,7 +447,7 @@
 }
 
 /// The caller would read a second head as a part of the first body, or as the response to its next
-/// request. All responses pass here, whoever makes them.
+/// request. Forwarded and generated responses all pass here.
 bool caller_session::begin_response(unsigned status)
 {
   if (!std::exchange(m_response_begun, true))
