--- a/Source/Emulator/BackendServer.cpp
+++ b/Source/Emulator/BackendServer.cpp
@@ -363,7 +363,7 @@
   const auto* expected = head.find(names::expected_server);
   if ((!whole && m_fault != server_fault::breaks_off_early) ||
       head.find(names::request_id) == nullptr || expected == nullptr || *expected != m_id ||
-      steady_clock::now() < m_paused_until || !draw_fault())
+      steady_clock::now() < m_paused_until || reply->caller_is_gone() || !draw_fault())
   {
     return false;
   }
