StateFeed: the log tells which read brought the operator's records

A late configuration left only its own line in the logs, so that a read that had waited too long, a slow process and an old page of another process looked alike. Each process now logs the source of a page that changes the operator's records, how long its read took, how old the records were and how long it took to apply them; /metrics of entries has the ages of both topics.

--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -5,6 +5,7 @@
 
 #include "Common/BootClock.h"
 #include "Common/Log.h"
+#include "Common/Metrics.h"
 #include "Gateway/Gateway.h"
 #include "Node/OperatorRecords.h"
 #include "Node/PeerService.h"
@@ -107,7 +108,15 @@
                                     std::function<void(std::string)> respond)
             { m_feed.serve_changes(request, left_out, std::move(respond)); },
             .on_introduced = [this] { m_feed.start(); },
-            .metrics = [this] { return m_gateway.metrics_text(); },
+            .metrics =
+                [this]
+            {
+              m_metrics.set("operator_records_age_ms",
+                            static_cast<double>(m_feed.operator_age().count()));
+              m_metrics.set("backend_records_age_ms",
+                            static_cast<double>(m_feed.backend_age().count()));
+              return m_gateway.metrics_text() + m_metrics.to_prometheus();
+            },
             .serve_weights = [this](const async_io::message_head& head,
                                     const async_io::http_listener::responder& respond)
             { m_relay.serve(head, respond); },
@@ -307,6 +316,7 @@
   async_io::http_listener m_readiness;
   async_io::http_listener m_lookup;
   std::mt19937_64 m_random{std::random_device{}()};
+  metrics_registry m_metrics;
   stop_signals m_signals;
 };
 
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -153,6 +154,15 @@
   {
     return m_operator.state.position();
   }
+  /// Time since the operator's records, and those of the backend servers, were last confirmed.
+  std::chrono::milliseconds operator_age() const
+  {
+    return age_of(m_operator);
+  }
+  std::chrono::milliseconds backend_age() const
+  {
+    return age_of(m_backends);
+  }
   /// Delay before the next attempt after a failed read of the operator records.
   std::chrono::milliseconds operator_retry_delay() const
   {
@@ -193,11 +203,56 @@
     std::string current_reader;
   };
 
+  /// Where a page of records comes from.
+  struct page_origin
+  {
+    /// Address of a process, or `store`.
+    std::string source;
+    /// When it was asked.
+    async_io::time_point asked;
+  };
+
   static async_io::time_point now()
   {
     return current_time();
   }
 
+  static std::chrono::milliseconds age_of(const topic_feed& feed)
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now() - feed.state.confirmed_at());
+  }
+
+  static page_origin store_origin()
+  {
+    return {"store", now()};
+  }
+
+  /// Applies a page and logs what it changed: how long its read took, how old the records had
+  /// become meanwhile, and how long it took to put the change in force.
+  template <std::invocable Apply>
+  void apply_from(const topic_feed& feed, const page_origin& origin, Apply apply)
+  {
+    const auto before = feed.state.position();
+    const bool had_state = feed.state.is_initialized();
+    const auto confirmed = feed.state.confirmed_at();
+    const auto began = now();
+    apply();
+    if (&feed != &m_operator || (had_state && feed.state.position() == before))
+    {
+      return;
+    }
+    const auto ms = [](std::chrono::nanoseconds time)
+    {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    log_info(log_category::log, "operator's records changed",
+             {{"source", origin.source},
+              {"offset", feed.state.next_offset()},
+              {"read_ms", ms(began - origin.asked)},
+              {"age_ms", had_state ? ms(began - confirmed) : 0},
+              {"apply_ms", ms(now() - began)}});
+  }
+
   /// A read of the operator records can wait for ten seconds. The backend server records are read
   /// continuously and show sooner that the store is reachable.
   async_io::time_point last_confirmed() const
@@ -240,15 +295,17 @@
   {
     if (!feed.state.is_initialized() || feed.resync)
     {
-      m_store.newest(feed.topic, [this, &feed, read_number](const result<record_page>& page)
-                     { on_store_page(feed, read_number, page, true); });
+      m_store.newest(feed.topic, [this, &feed, read_number,
+                                  origin = store_origin()](const result<record_page>& page)
+                     { on_store_page(feed, read_number, page, true, origin); });
       return;
     }
     const auto wait = feed.topic == record_topic::operator_records ? operator_poll_wait
                                                                    : std::chrono::milliseconds(0);
-    m_store.read(feed.topic, feed.state.next_offset(), wait,
-                 [this, &feed, read_number](const result<record_page>& page)
-                 { on_store_page(feed, read_number, page, false); });
+    m_store.read(
+        feed.topic, feed.state.next_offset(), wait,
+        [this, &feed, read_number, origin = store_origin()](const result<record_page>& page)
+        { on_store_page(feed, read_number, page, false, origin); });
   }
 
   static changes_request make_request(const topic_feed& feed, bool may_wait)
@@ -260,21 +317,22 @@
   void read_from_reader(topic_feed& feed, std::uint64_t read_number, const std::string& ip)
   {
     feed.current_reader = ip;
-    m_handlers.ask(ip, make_request(feed, true),
-                   [this, &feed, read_number, ip](const result<relay_page>& page)
-                   { on_relay_page(feed, read_number, ip, page); });
+    m_handlers.ask(
+        ip, make_request(feed, true),
+        [this, &feed, read_number, origin = page_origin{ip, now()}](const result<relay_page>& page)
+        { on_relay_page(feed, read_number, origin, page); });
   }
 
-  void on_relay_page(topic_feed& feed, std::uint64_t read_number, const std::string& ip,
+  void on_relay_page(topic_feed& feed, std::uint64_t read_number, const page_origin& origin,
                      const result<relay_page>& page)
   {
-    apply_relay_page(feed, page);
+    apply_from(feed, origin, [&] { apply_relay_page(feed, page); });
     const bool usable = is_current(page) && page->page.era.value_or(0) >= feed.state.era();
     const bool awaits_first_state = page && !page->has_state && !feed.state.is_initialized() &&
                                     now() - m_started < first_state_patience;
     if (!usable && !awaits_first_state)
     {
-      feed.bypassed_until[ip] = now() + reader_bypass_time;
+      feed.bypassed_until[origin.source] = now() + reader_bypass_time;
     }
     if (read_number != feed.read_number)
     {
@@ -316,13 +374,14 @@
   }
 
   void on_store_page(topic_feed& feed, std::uint64_t read_number, const result<record_page>& page,
-                     bool is_snapshot)
+                     bool is_snapshot, const page_origin& origin)
   {
     if (read_number != feed.read_number && !page)
     {
       return;
     }
-    const bool applied = apply_store_page(feed, page, is_snapshot);
+    bool applied = false;
+    apply_from(feed, origin, [&] { applied = apply_store_page(feed, page, is_snapshot); });
     if (read_number != feed.read_number)
     {
       return;
@@ -500,10 +559,11 @@
     }
     m_extra_read_at = now();
     m_store.read(m_backends.topic, m_backends.state.next_offset(), std::chrono::milliseconds(0),
-                 [this](const result<record_page>& page) { on_extra_page(page); });
+                 [this, origin = store_origin()](const result<record_page>& page)
+                 { on_extra_page(page, origin); });
   }
 
-  void on_extra_page(const result<record_page>& page)
+  void on_extra_page(const result<record_page>& page, const page_origin& origin)
   {
     if (!page || log_position{page->era.value_or(m_backends.state.era()), page->end} <
                      m_backends.state.position())
@@ -515,7 +575,7 @@
     if (m_backends.current_reader.empty())
     {
       // Takes the place of the read whose answer has not come.
-      on_store_page(m_backends, ++m_backends.read_number, page, false);
+      on_store_page(m_backends, ++m_backends.read_number, page, false, origin);
       return;
     }
     if (note_era(m_backends, *page))
@@ -561,14 +621,14 @@
   {
     // The peer may be cut off from the store too, so the age of its state is kept.
     m_handlers.ask(peer, make_request(feed, false),
-                   [this, &feed, peer](const result<relay_page>& page)
+                   [this, &feed, origin = page_origin{peer, now()}](const result<relay_page>& page)
                    {
-                     apply_relay_page(feed, page);
+                     apply_from(feed, origin, [&] { apply_relay_page(feed, page); });
                      // The backend servers are read most often, so their state tells soonest.
                      const bool decides = !m_follow_backends || &feed == &m_backends;
                      if (decides && is_current(page))
                      {
-                       m_current_peer = peer;
+                       m_current_peer = origin.source;
                      }
                    });
   }
