AsyncIo: idle connections are dropped when a call times out

Idle connections to a server may all go silent at the same moment. A call that met one of them ended with a time-out, and the next one took the next silent connection: two of them cost two time limits in turn.

A call that times out closes the idle connections to its address, and a call can ask for a new connection. AsyncIo.HttpCaller.call_after_a_time_out_leaves_silent_idle_connections failed before.

--- a/Source/Core/AsyncIo/HttpCaller.cpp
+++ b/Source/Core/AsyncIo/HttpCaller.cpp
@@ -75,7 +75,8 @@
       return;
     }
     start_deadline(call.timeout);
-    connection = call.session ? nullptr : owner->pool.take(call.address);
+    const bool may_reuse = !call.session && !call.new_connection;
+    connection = may_reuse ? owner->pool.take(call.address) : nullptr;
     if (connection)
     {
       send();
@@ -130,6 +131,8 @@
         return;
       }
     }
+    // What made this connection silent may have made the idle ones silent too.
+    owner->pool.drop(call.address);
     finish(fail(error_code::timeout, "no answer in time"));
   }
 
--- a/Source/Core/AsyncIo/HttpCaller.h
+++ b/Source/Core/AsyncIo/HttpCaller.h
@@ -54,6 +54,8 @@
   std::string_view purpose = "other";
   /// If set, the connection that the call uses.
   std::shared_ptr<call_session> session;
+  /// Leaves idle connections alone: they may have gone silent.
+  bool new_connection = false;
 };
 
 /// Calls servers and keeps idle connections for later calls. A call is never repeated. Error codes:
