StateFeed: what a read of the store asks for is one type

No change of behaviour: offset and wait become record_read, which can also ask for a new connection and for as little as the store sends at once.

--- a/Source/Core/StateFeed/Records.h
+++ b/Source/Core/StateFeed/Records.h
@@ -51,6 +51,18 @@
   auto operator<=>(const log_position&) const = default;
 };
 
+/// A read of the records of a topic from an offset on.
+struct record_read
+{
+  std::uint64_t from = 0;
+  /// How long the store waits for the first record.
+  std::chrono::milliseconds wait{0};
+  /// Does not use an idle connection: it may have gone silent.
+  bool new_connection = false;
+  /// Asks for as few records as the store sends at once.
+  bool is_check = false;
+};
+
 struct record_page
 {
   std::vector<record> records;
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -30,7 +30,7 @@
 concept record_store = requires(Store store, record_topic topic, page_handler done)
 {
   store.newest(topic, done);
-  store.read(topic, std::uint64_t{}, std::chrono::milliseconds{}, done);
+  store.read(topic, record_read{}, done);
 };
 
 // Long polls deliver a change as soon as it is written. A shorter wait costs more calls; a longer
@@ -303,7 +303,7 @@
     const auto wait = feed.topic == record_topic::operator_records ? operator_poll_wait
                                                                    : std::chrono::milliseconds(0);
     m_store.read(
-        feed.topic, feed.state.next_offset(), wait,
+        feed.topic, {.from = feed.state.next_offset(), .wait = wait},
         [this, &feed, read_number, origin = store_origin()](const result<record_page>& page)
         { on_store_page(feed, read_number, page, false, origin); });
   }
@@ -558,7 +558,7 @@
       return;
     }
     m_extra_read_at = now();
-    m_store.read(m_backends.topic, m_backends.state.next_offset(), std::chrono::milliseconds(0),
+    m_store.read(m_backends.topic, {.from = m_backends.state.next_offset()},
                  [this, origin = store_origin()](const result<record_page>& page)
                  { on_extra_page(page, origin); });
   }
--- a/Source/UnitTests/Emulator/StoreTest.cpp
+++ b/Source/UnitTests/Emulator/StoreTest.cpp
@@ -72,8 +72,9 @@
   result<record_page> read(const std::string& machine, std::uint64_t from, milliseconds wait)
   {
     platform::store_client client(m_caller, m_addresses.at(machine));
-    return wait_for([&client, from, wait](const auto& done)
-                    { client.read(record_topic::operator_records, from, wait, done); });
+    return wait_for(
+        [&client, from, wait](const auto& done)
+        { client.read(record_topic::operator_records, {.from = from, .wait = wait}, done); });
   }
 
 public:
--- a/Source/UnitTests/Platform/EndlessAnswerTest.cpp
+++ b/Source/UnitTests/Platform/EndlessAnswerTest.cpp
@@ -88,7 +88,7 @@
                    [topic](auto& caller, const auto& server, auto done)
                    {
                      platform::store_client(caller, server)
-                         .read(topic, 0, milliseconds(500),
+                         .read(topic, {.wait = milliseconds(500)},
                                [done](const auto& page) { done(page.has_value()); });
                    });
   }
--- a/Source/UnitTests/Platform/StoreClientTest.cpp
+++ b/Source/UnitTests/Platform/StoreClientTest.cpp
@@ -69,7 +69,7 @@
           respond({status, "", body});
         },
         [](platform::store_client& client, platform::store_client::page_handler done)
-        { client.read(record_topic::operator_records, 5, milliseconds(0), std::move(done)); });
+        { client.read(record_topic::operator_records, {.from = 5}, std::move(done)); });
   }
 
 public:
--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -33,10 +33,10 @@
     calls.push_back({topic == record_topic::operator_records ? "newest op" : "newest servers",
                      std::move(done)});
   }
-  void read(record_topic topic, std::uint64_t from, milliseconds /*wait*/, page_handler done)
+  void read(record_topic topic, const record_read& what, page_handler done)
   {
     const std::string name = topic == record_topic::operator_records ? "read op " : "read servers ";
-    calls.push_back({name + std::to_string(from), std::move(done)});
+    calls.push_back({name + std::to_string(what.from), std::move(done)});
   }
 
   std::string next_call() const
