StateFeed: records that grow old are checked at the store beside the current read

Cause: the readers wait for the operator's records in one read of 10 s with a time limit of 11.5 s. If its connection goes silent or its wake-up is lost at all readers, nothing else tells of the change: reads of the backend servers go on over other connections, and only a failed read replaced the long one.

Each process now checks records at the store before they are too old, whichever read or request on the way to it was lost: a reader every 0.45 s beside its long poll, other entries when their records are 1.1 s old, over a new connection; a check without an answer is repeated after 0.3 s. A check that finds news takes the place of the long poll. Agents ask a peer instead. The reads that did this for the backend servers' records are replaced by the checks.

In StateFeed.Follower the stand-in of the store keeps checks apart from reads, so that the test of stalled reads counts both: one read as before, and at most six checks, which bring one record each.

--- a/Source/Core/StateFeed/FeedTiming.h
+++ b/Source/Core/StateFeed/FeedTiming.h
@@ -10,11 +10,14 @@
 /// and of configurations to two seconds.
 struct feed_timing
 {
-  /// Servers write continuously, so a long poll for their records would return immediately.
-  std::chrono::milliseconds backend_poll_interval{450};
-  /// State of the backend servers that is older than this is read from the store beside the read
-  /// that is not answered.
-  std::chrono::milliseconds max_backend_age{1100};
+  /// Interval of the reads of the backend servers' records, which change too often for long polls,
+  /// and of the checks beside a long poll for the operator's records.
+  std::chrono::milliseconds poll_interval{450};
+  /// Records that are older than this are checked at the store beside the read that is not
+  /// answered.
+  std::chrono::milliseconds max_age{1100};
+  /// A check without an answer is repeated after this time.
+  std::chrono::milliseconds check_patience{300};
   /// A process that serves state to others waits for news while its state is older than this.
   std::chrono::milliseconds max_relay_age{900};
 };
@@ -35,8 +38,9 @@
     return time * used.count() / default_limit.count();
   };
   const feed_timing base;
-  return {.backend_poll_interval = scaled(base.backend_poll_interval),
-          .max_backend_age = scaled(base.max_backend_age),
+  return {.poll_interval = scaled(base.poll_interval),
+          .max_age = scaled(base.max_age),
+          .check_patience = scaled(base.check_patience),
           .max_relay_age = scaled(base.max_relay_age)};
 }
 
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -16,6 +16,7 @@
 #include "Common/BootClock.h"
 #include "Common/Log.h"
 #include "Common/Result.h"
+#include "StateFeed/CheckSchedule.h"
 #include "StateFeed/FeedTiming.h"
 #include "StateFeed/RelayPage.h"
 #include "StateFeed/TopicRelay.h"
@@ -48,9 +49,10 @@
 // wait for it: if each of them read the whole state, the regional link would be full for longer.
 constexpr std::chrono::milliseconds first_state_patience{4000};
 
-constexpr std::chrono::milliseconds backend_age_check_interval{100};
-// Longest interval between such reads while the store does not answer either.
-constexpr std::chrono::milliseconds max_extra_read_interval{4400};
+// A process that reads the store as a last resort can do without the newest records for this many
+// times as long as others.
+constexpr int last_resort_age_factor = 2;
+constexpr std::chrono::milliseconds min_check_delay{5};
 
 enum class store_use
 {
@@ -103,7 +105,7 @@
         m_operator(
             loop, record_topic::operator_records,
             [this](const record& change) { m_handlers.on_operator_record(change); },
-            [this] { return last_confirmed(); }, default_heartbeat, timing.max_relay_age,
+            [this] { return last_confirmed(); }, default_heartbeat, timing,
             {.is_older = m_handlers.is_older_operator_record, .retains_missing = true}),
         m_backends(
             loop, record_topic::backend_servers,
@@ -111,9 +113,9 @@
               m_handlers.on_backend_record(change,
                                            m_backends.state.may_return_until(change, now()));
             },
-            [this] { return m_backends.state.confirmed_at(); }, backend_heartbeat,
-            timing.max_relay_age, {.is_older = m_handlers.is_older_backend_record}),
-        m_catch_up_timer(loop), m_peer_timer(loop), m_backend_age_timer(loop)
+            [this] { return m_backends.state.confirmed_at(); }, backend_heartbeat, timing,
+            {.is_older = m_handlers.is_older_backend_record}),
+        m_catch_up_timer(loop), m_peer_timer(loop), m_check_timer(loop)
   {
   }
 
@@ -124,8 +126,8 @@
     if (m_follow_backends)
     {
       read_next(m_backends);
-      check_backend_age();
     }
+    check_ages();
   }
 
   /// Called when a peer has applied the operator records up to this position.
@@ -182,10 +184,10 @@
     topic_feed(async_io::event_loop& loop, record_topic followed,
                topic_state::change_handler on_change,
                std::function<async_io::time_point()> confirmed_at,
-               std::chrono::milliseconds heartbeat, std::chrono::milliseconds max_age,
-               restore_rules rules)
+               std::chrono::milliseconds heartbeat, const feed_timing& timing, restore_rules rules)
         : topic(followed), state(std::move(on_change), heartbeat, std::move(rules)),
-          relay(loop, state, std::move(confirmed_at), max_age), timer(loop)
+          relay(loop, state, std::move(confirmed_at), timing.max_relay_age), timer(loop),
+          checks(timing.check_patience)
     {
     }
 
@@ -201,6 +203,7 @@
     std::map<std::string, async_io::time_point> bypassed_until;
     /// The reader that the current read asks; empty if it asks the store.
     std::string current_reader;
+    check_schedule checks;
   };
 
   /// Where a page of records comes from.
@@ -400,7 +403,7 @@
     {
       feed.retry_delay = initial_retry_delay;
       const bool needs_interval = feed.topic == record_topic::backend_servers && !feed.resync;
-      pause = needs_interval ? m_timing.backend_poll_interval : pause;
+      pause = needs_interval ? m_timing.poll_interval : pause;
     }
     feed.timer.start(pause, [this, &feed] { read_next(feed); });
   }
@@ -546,47 +549,103 @@
     }
   }
 
-  /// Each reader that takes a request and does not answer costs its whole time limit, and several
-  /// may do so in turn. So does a read of the store whose answer is lost.
-  void check_backend_age()
+  bool asks_store(const topic_feed& feed) const
   {
-    m_backend_age_timer.start(backend_age_check_interval, [this] { check_backend_age(); });
-    if (m_store_use != store_use::direct || !m_backends.state.is_initialized() ||
-        m_backends.resync || now() - m_backends.state.confirmed_at() < m_timing.max_backend_age ||
-        now() < m_extra_read_at + m_extra_read_interval)
+    return feed.current_reader.empty() &&
+           (m_store_use == store_use::direct || m_handlers.readers().empty());
+  }
+
+  /// Age at which the records are checked. A long poll that has gone silent looks like one without
+  /// news.
+  std::chrono::milliseconds check_age(const topic_feed& feed) const
+  {
+    if (asks_store(feed) && &feed == &m_operator)
+    {
+      return m_timing.poll_interval;
+    }
+    return m_timing.max_age * (m_store_use == store_use::last_resort ? last_resort_age_factor : 1);
+  }
+
+  /// Whichever read or request on the way to this process is lost, and however long its own time
+  /// limit is, the records are checked before they are too old.
+  void check_ages()
+  {
+    auto next = now() + m_timing.poll_interval;
+    for (topic_feed* feed : {&m_operator, &m_backends})
     {
+      if (!feed->state.is_initialized() || feed->resync)
+      {
+        continue;
+      }
+      const auto confirmed_at = feed->state.confirmed_at();
+      if (now() >= feed->checks.due(confirmed_at, check_age(*feed)))
+      {
+        check(*feed);
+      }
+      next = std::min(next, feed->checks.due(confirmed_at, check_age(*feed)));
+    }
+    m_check_timer.start(std::max<std::chrono::nanoseconds>(next - now(), min_check_delay),
+                        [this] { check_ages(); });
+  }
+
+  void check(topic_feed& feed)
+  {
+    const auto confirmed_at = feed.state.confirmed_at();
+    const bool is_repeated = feed.checks.is_repeated(confirmed_at);
+    feed.checks.note_sent(confirmed_at, now());
+    if (!is_repeated && now() - confirmed_at >= m_timing.max_age)
+    {
+      log_info(log_category::log, "records are old; they are checked beside the current read",
+               {{"topic", feed.topic == record_topic::operator_records ? "operator" : "servers"},
+                {"age_ms", age_of(feed).count()},
+                {"source", feed.current_reader.empty() ? "store" : feed.current_reader}});
+    }
+    if (m_store_use == store_use::last_resort && !m_handlers.readers().empty())
+    {
+      if (!m_peer_request_pending)
+      {
+        request_from_peer();
+      }
       return;
     }
-    m_extra_read_at = now();
-    m_store.read(m_backends.topic, {.from = m_backends.state.next_offset()},
-                 [this, origin = store_origin()](const result<record_page>& page)
-                 { on_extra_page(page, origin); });
+    // Only the usual checks of a reader use an idle connection, which may have gone silent too.
+    read_beside(feed, {.from = feed.state.next_offset(),
+                       .new_connection = is_repeated || !asks_store(feed),
+                       .is_check = true});
+  }
+
+  void read_beside(topic_feed& feed, const record_read& what)
+  {
+    m_store.read(feed.topic, what,
+                 [this, &feed, origin = store_origin()](const result<record_page>& page)
+                 { on_check(feed, page, origin); });
   }
 
-  void on_extra_page(const result<record_page>& page, const page_origin& origin)
+  void on_check(topic_feed& feed, const result<record_page>& page, const page_origin& origin)
   {
-    if (!page || log_position{page->era.value_or(m_backends.state.era()), page->end} <
-                     m_backends.state.position())
+    if (!page && page.error().code != error_code::expired)
     {
-      m_extra_read_interval = std::min(m_extra_read_interval * 2, max_extra_read_interval);
       return;
     }
-    m_extra_read_interval = m_timing.max_backend_age;
-    if (m_backends.current_reader.empty())
+    const bool has_news = !page || page->end > feed.state.next_offset();
+    const bool replaces_read = asks_store(feed) && (has_news || &feed == &m_backends);
+    if (replaces_read)
     {
       // Takes the place of the read whose answer has not come.
-      on_store_page(m_backends, ++m_backends.read_number, page, false, origin);
+      on_store_page(feed, ++feed.read_number, page, false, origin);
       return;
     }
-    if (note_era(m_backends, *page))
+    apply_from(feed, origin, [&] { apply_store_page(feed, page, false); });
+    if (feed.resync)
     {
-      m_backends.resync = true;
-      m_backends.current_reader.clear();
-      read_from_store(m_backends, ++m_backends.read_number);
+      feed.current_reader.clear();
+      read_from_store(feed, ++feed.read_number);
       return;
     }
-    m_backends.state.apply_changes(*page, now());
-    m_backends.relay.notify();
+    if (page && page->next < page->end)
+    {
+      read_beside(feed, {.from = feed.state.next_offset(), .new_connection = true});
+    }
   }
 
   /// Asks one peer for changes, and another one later if the store still does not answer.
@@ -650,9 +709,7 @@
   topic_feed m_backends;
   async_io::timer m_catch_up_timer;
   async_io::timer m_peer_timer;
-  async_io::timer m_backend_age_timer;
-  async_io::time_point m_extra_read_at{};
-  std::chrono::milliseconds m_extra_read_interval = m_timing.max_backend_age;
+  async_io::timer m_check_timer;
   /// Peer that had current state when it was asked last; it is asked again before the next one.
   std::optional<std::string> m_current_peer;
   log_position m_peer_position;
--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -27,6 +27,8 @@
     page_handler done;
   };
   std::deque<call> calls;
+  /// Checks of the operator's records, which come beside the reads.
+  std::deque<page_handler> operator_checks;
 
   void newest(record_topic topic, page_handler done)
   {
@@ -35,6 +37,11 @@
   }
   void read(record_topic topic, const record_read& what, page_handler done)
   {
+    if (topic == record_topic::operator_records && what.is_check)
+    {
+      operator_checks.push_back(std::move(done));
+      return;
+    }
     const std::string name = topic == record_topic::operator_records ? "read op " : "read servers ";
     calls.push_back({name + std::to_string(what.from), std::move(done)});
   }
@@ -631,8 +638,8 @@
     CPPUNIT_ASSERT(m_store.calls.empty());
   }
 
-  /// Guards against a read of the store that is started every 0.7 s and brings a whole
-  /// configuration each time once its link is no longer full.
+  /// Guards against a read of the store that is started every 0.7 s and brings all records since
+  /// each time once its link is no longer full. Checks bring one record, and grow rare.
   void stalled_read_of_the_store_is_not_repeated_at_once()
   {
     auto follower = make_follower(false);
@@ -643,6 +650,7 @@
     follower.note_peer_position({0, 3});
     run_until([this] { return m_peer_request_count >= 3; });
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store.calls.size());
+    CPPUNIT_ASSERT(m_store.operator_checks.size() <= 6);
   }
 
   void newer_peer_offset_replaces_stalled_read()
--- a/Source/UnitTests/StateFeed/TopicStateTest.cpp
+++ b/Source/UnitTests/StateFeed/TopicStateTest.cpp
@@ -343,15 +343,15 @@
   {
     const feed_timing usual = make_feed_timing(std::chrono::milliseconds(2000));
     const feed_timing longer = make_feed_timing(std::chrono::milliseconds(4000));
-    CPPUNIT_ASSERT(usual.backend_poll_interval == feed_timing{}.backend_poll_interval);
-    CPPUNIT_ASSERT(longer.backend_poll_interval == 2 * usual.backend_poll_interval);
+    CPPUNIT_ASSERT(usual.poll_interval == feed_timing{}.poll_interval);
+    CPPUNIT_ASSERT(longer.poll_interval == 2 * usual.poll_interval);
     for (const std::int64_t limit_ms : {500, 1000, 2000, 3000, 4000, 60000})
     {
       const std::chrono::milliseconds limit(limit_ms);
       const feed_timing timing = make_feed_timing(limit);
-      CPPUNIT_ASSERT(timing.max_backend_age + timing.backend_poll_interval < limit);
-      CPPUNIT_ASSERT(timing.backend_poll_interval < timing.max_relay_age);
-      CPPUNIT_ASSERT(timing.max_relay_age < timing.max_backend_age);
+      CPPUNIT_ASSERT(timing.max_age + timing.poll_interval < limit);
+      CPPUNIT_ASSERT(timing.poll_interval < timing.max_relay_age);
+      CPPUNIT_ASSERT(timing.max_relay_age < timing.max_age);
     }
   }
 };
