StateFeed: records are as old as the question that brought them

A reader stated the age of its newest answer of any topic for the operator's records, so that its failure domain took a configuration for half a second old that was ten seconds old; and an answer counted as new at the moment it was read, also if it had waited in a full link or while the process stood still.

The age of a topic comes from its own answers. An answer of the store is as old as its read, a page of a process as old as its request, less the time for which the other process held it, plus the age that it states. A page that is not the last one confirms nothing.

StateFeed.SilentReads: age_of_the_operators_records_is_their_own, answer_is_as_old_as_its_read and page_of_a_process_is_as_old_as_its_request failed before.

--- a/Source/Core/StateFeed/RelayPage.cpp
+++ b/Source/Core/StateFeed/RelayPage.cpp
@@ -21,12 +21,13 @@
   bool has_state = true;
   bool is_snapshot = false;
   std::uint64_t age_ms = 0;
+  std::uint64_t held_ms = 0;
   std::string records;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(has_state, is_snapshot, age_ms, records);
+    archive(has_state, is_snapshot, age_ms, held_ms, records);
   }
 };
 
@@ -37,16 +38,15 @@
   return compress(protocol::encode_text(page));
 }
 
-std::string encode_relay_page(bool has_state, bool is_snapshot, std::uint64_t age_ms,
-                              std::string_view records)
+std::string encode_relay_page(const relay_page& page, std::string_view records)
 {
-  return protocol::encode_text(envelope{has_state, is_snapshot, age_ms, std::string(records)});
+  return protocol::encode_text(
+      envelope{page.has_state, page.is_snapshot, page.age_ms, page.held_ms, std::string(records)});
 }
 
 std::string encode_relay_page(const relay_page& page)
 {
-  return encode_relay_page(page.has_state, page.is_snapshot, page.age_ms,
-                           encode_records(page.page));
+  return encode_relay_page(page, encode_records(page.page));
 }
 
 result<relay_page> decode_relay_page(std::string_view data)
@@ -59,7 +59,8 @@
                       { return protocol::decode_text<record_page>(records); })
             .map(
                 [&outer](record_page page) -> relay_page {
-                  return {outer.has_state, outer.is_snapshot, std::move(page), outer.age_ms};
+                  return {outer.has_state, outer.is_snapshot, std::move(page), outer.age_ms,
+                          outer.held_ms};
                 });
       });
 }
--- a/Source/Core/StateFeed/RelayPage.h
+++ b/Source/Core/StateFeed/RelayPage.h
@@ -31,15 +31,16 @@
   record_page page;
   /// Milliseconds since the sender last confirmed that its records are current.
   std::uint64_t age_ms = 0;
+  /// Milliseconds for which the sender held the request before it made the page.
+  std::uint64_t held_ms = 0;
 };
 
 /// Compressed records of a page. Configurations repeat the same field names for each route and take
 /// about a tenth of their size.
 std::string encode_records(const record_page& page);
 
-/// Encodes a page whose records are encoded already.
-std::string encode_relay_page(bool has_state, bool is_snapshot, std::uint64_t age_ms,
-                              std::string_view records);
+/// Encodes a page with these records, which are encoded already, in place of its own.
+std::string encode_relay_page(const relay_page& page, std::string_view records);
 std::string encode_relay_page(const relay_page& page);
 result<relay_page> decode_relay_page(std::string_view data);
 
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -105,7 +105,7 @@
         m_operator(
             loop, record_topic::operator_records,
             [this](const record& change) { m_handlers.on_operator_record(change); },
-            [this] { return last_confirmed(); }, default_heartbeat, timing,
+            [this] { return m_operator.state.confirmed_at(); }, default_heartbeat, timing,
             {.is_older = m_handlers.is_older_operator_record, .retains_missing = true}),
         m_backends(
             loop, record_topic::backend_servers,
@@ -256,13 +256,6 @@
               {"apply_ms", ms(now() - began)}});
   }
 
-  /// A read of the operator records can wait for ten seconds. The backend server records are read
-  /// continuously and show sooner that the store is reachable.
-  async_io::time_point last_confirmed() const
-  {
-    return std::max(m_operator.state.confirmed_at(), m_backends.state.confirmed_at());
-  }
-
   /// Asks the first reader that is not bypassed; without one, reads the store, or asks a peer if
   /// this process reads the store as a last resort only.
   void read_next(topic_feed& feed)
@@ -329,7 +322,7 @@
   void on_relay_page(topic_feed& feed, std::uint64_t read_number, const page_origin& origin,
                      const result<relay_page>& page)
   {
-    apply_from(feed, origin, [&] { apply_relay_page(feed, page); });
+    apply_from(feed, origin, [&] { apply_relay_page(feed, page, origin); });
     const bool usable = is_current(page) && page->page.era.value_or(0) >= feed.state.era();
     const bool awaits_first_state = page && !page->has_state && !feed.state.is_initialized() &&
                                     now() - m_started < first_state_patience;
@@ -344,14 +337,23 @@
     read_next(feed);
   }
 
-  void apply_relay_page(topic_feed& feed, const result<relay_page>& page)
+  /// The page was made at the end of the time for which it was held, or later. What passed besides
+  /// on its way counts towards its age: it may have waited in a full link, or this process may have
+  /// stood still.
+  static async_io::time_point confirmed_by(const relay_page& page, const page_origin& origin)
+  {
+    return origin.asked + std::chrono::milliseconds(page.held_ms) -
+           std::chrono::milliseconds(page.age_ms);
+  }
+
+  void apply_relay_page(topic_feed& feed, const result<relay_page>& page, const page_origin& origin)
   {
     if (!page || !page->has_state || is_former(feed, page->page))
     {
       return;
     }
     note_era(feed, page->page);
-    const auto confirmed_at = now() - std::chrono::milliseconds(page->age_ms);
+    const auto confirmed_at = confirmed_by(*page, origin);
     if (page->is_snapshot)
     {
       feed.state.apply_newest(page->page, confirmed_at);
@@ -384,7 +386,7 @@
       return;
     }
     bool applied = false;
-    apply_from(feed, origin, [&] { applied = apply_store_page(feed, page, is_snapshot); });
+    apply_from(feed, origin, [&] { applied = apply_store_page(feed, page, is_snapshot, origin); });
     if (read_number != feed.read_number)
     {
       return;
@@ -408,8 +410,10 @@
     feed.timer.start(pause, [this, &feed] { read_next(feed); });
   }
 
+  /// The store answered no sooner than it was asked, so that the records are as old as the read.
   /// Returns false if the next read has to wait for a delay.
-  bool apply_store_page(topic_feed& feed, const result<record_page>& page, bool is_snapshot)
+  bool apply_store_page(topic_feed& feed, const result<record_page>& page, bool is_snapshot,
+                        const page_origin& origin)
   {
     if (!page)
     {
@@ -447,12 +451,12 @@
     }
     if (is_snapshot)
     {
-      feed.state.apply_newest(*page, now());
+      feed.state.apply_newest(*page, origin.asked);
       feed.resync = false;
     }
     else
     {
-      feed.state.apply_changes(*page, now());
+      feed.state.apply_changes(*page, origin.asked);
     }
     feed.relay.notify();
     report_first_state();
@@ -635,7 +639,7 @@
       on_store_page(feed, ++feed.read_number, page, false, origin);
       return;
     }
-    apply_from(feed, origin, [&] { apply_store_page(feed, page, false); });
+    apply_from(feed, origin, [&] { apply_store_page(feed, page, false, origin); });
     if (feed.resync)
     {
       feed.current_reader.clear();
@@ -682,7 +686,7 @@
     m_handlers.ask(peer, make_request(feed, false),
                    [this, &feed, origin = page_origin{peer, now()}](const result<relay_page>& page)
                    {
-                     apply_from(feed, origin, [&] { apply_relay_page(feed, page); });
+                     apply_from(feed, origin, [&] { apply_relay_page(feed, page, origin); });
                      // The backend servers are read most often, so their state tells soonest.
                      const bool decides = !m_follow_backends || &feed == &m_backends;
                      if (decides && is_current(page))
--- a/Source/Core/StateFeed/TopicRelay.cpp
+++ b/Source/Core/StateFeed/TopicRelay.cpp
@@ -38,7 +38,7 @@
 }
 
 std::string topic_relay::make_response(const changes_request& request,
-                                       const std::string& excluded_key)
+                                       const std::string& excluded_key, milliseconds held)
 {
   if (m_encoded_revision != m_topic.revision())
   {
@@ -58,8 +58,19 @@
     }
     encoded = encode_records(page);
   }
-  return encode_relay_page(m_topic.is_initialized(), is_snapshot,
-                           static_cast<std::uint64_t>(age().count()), encoded);
+  return encode_relay_page({.has_state = m_topic.is_initialized(),
+                            .is_snapshot = is_snapshot,
+                            .page = {},
+                            .age_ms = static_cast<std::uint64_t>(age().count()),
+                            .held_ms = static_cast<std::uint64_t>(held.count())},
+                           encoded);
+}
+
+void topic_relay::respond_to(const pending_request& held)
+{
+  held.respond(
+      make_response(held.request, held.excluded_key,
+                    std::chrono::duration_cast<milliseconds>(current_time() - held.received_at)));
 }
 
 void topic_relay::serve(const changes_request& request, const std::string& excluded_key,
@@ -68,11 +79,12 @@
   const bool stale = is_stale();
   if (!request.may_wait || (has_news(request) && !stale))
   {
-    respond(make_response(request, excluded_key));
+    respond(make_response(request, excluded_key, milliseconds(0)));
     return;
   }
-  m_pending.push_back({request, excluded_key, std::move(respond),
-                       current_time() + (stale ? confirmation_wait : relay_wait), stale});
+  const auto now = current_time();
+  m_pending.push_back({request, excluded_key, std::move(respond), now,
+                       now + (stale ? confirmation_wait : relay_wait), stale});
   if (m_pending.size() == 1)
   {
     m_timer.start(expiry_check_interval, [this] { expire_requests(); });
@@ -87,7 +99,7 @@
   {
     if (has_news(held.request) || (held.awaits_confirmation && !is_stale()))
     {
-      held.respond(make_response(held.request, held.excluded_key));
+      respond_to(held);
     }
     else
     {
@@ -112,7 +124,7 @@
                 });
   for (const pending_request& held : expired)
   {
-    held.respond(make_response(held.request, held.excluded_key));
+    respond_to(held);
   }
   if (!m_pending.empty())
   {
--- a/Source/Core/StateFeed/TopicRelay.h
+++ b/Source/Core/StateFeed/TopicRelay.h
@@ -48,6 +48,7 @@
     changes_request request;
     std::string excluded_key;
     responder respond;
+    async_io::time_point received_at;
     async_io::time_point expires_at;
     bool awaits_confirmation = false;
   };
@@ -56,7 +57,10 @@
   bool has_news(const changes_request& request) const;
   std::chrono::milliseconds age() const;
   bool is_stale() const;
-  std::string make_response(const changes_request& request, const std::string& excluded_key);
+  /// `held`: how long the request has waited here.
+  std::string make_response(const changes_request& request, const std::string& excluded_key,
+                            std::chrono::milliseconds held);
+  void respond_to(const pending_request& held);
   void expire_requests();
 
   const topic_state& m_topic;
--- a/Source/Core/StateFeed/TopicState.cpp
+++ b/Source/Core/StateFeed/TopicState.cpp
@@ -185,14 +185,17 @@
   m_recent_changes.push_back(change);
 }
 
-void topic_state::apply_changes(const record_page& page, time_point now)
+void topic_state::apply_changes(const record_page& page, time_point as_of)
 {
   if (page.era.value_or(m_era) != m_era)
   {
     return;
   }
   const time_point confirmed = m_confirmed_at;
-  confirm(now);
+  if (page.next >= page.end)
+  {
+    confirm(as_of);
+  }
   for (const record& change : page.records)
   {
     if (change.offset >= m_next_offset)
@@ -212,7 +215,7 @@
   }
 }
 
-void topic_state::apply_newest(const record_page& page, time_point now)
+void topic_state::apply_newest(const record_page& page, time_point as_of)
 {
   const std::uint64_t era = page.era.value_or(m_era);
   if (m_initialized && log_position{era, page.end} < position())
@@ -221,11 +224,11 @@
     return;
   }
   const time_point confirmed = m_confirmed_at;
-  confirm(now);
+  confirm(as_of);
   const bool restored = m_initialized && era != m_era;
   if (restored)
   {
-    begin_era(era, now);
+    begin_era(era, as_of);
   }
   m_era = era;
   std::set<std::string> present;
--- a/Source/Core/StateFeed/TopicState.h
+++ b/Source/Core/StateFeed/TopicState.h
@@ -46,11 +46,13 @@
                        restore_rules rules = {});
 
   /// Applies changes, which must be in order of their offsets. Those of another era are ignored:
-  /// an earlier one is over, and a later one has to be read from its beginning.
-  void apply_changes(const record_page& page, time_point now);
+  /// an earlier one is over, and a later one has to be read from its beginning. `as_of`: a time at
+  /// which the source of the page was not ahead of it; a page that is not the last one confirms
+  /// nothing.
+  void apply_changes(const record_page& page, time_point as_of);
   /// Applies the newest records of all keys and removes the keys that are absent. A page of an
   /// earlier era is ignored.
-  void apply_newest(const record_page& page, time_point now);
+  void apply_newest(const record_page& page, time_point as_of);
 
   bool is_initialized() const;
   std::uint64_t next_offset() const;
