StateFeed: a peer is asked again only if all its records are current

While the store does not answer, a process keeps asking the peer that had current state. It judged the peer by the backend servers' records only: one that reads these and is cut off from the operator's records was asked on and on, and a configuration that other peers had did not arrive.

A peer is kept if all topics that were asked for are current.

--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -673,23 +673,26 @@
     {
       return;
     }
-    request_from(*peer, m_operator);
+    const auto topics_left = std::make_shared<unsigned>(m_follow_backends ? 2 : 1);
+    request_from(*peer, m_operator, topics_left);
     if (m_follow_backends)
     {
-      request_from(*peer, m_backends);
+      request_from(*peer, m_backends, topics_left);
     }
   }
 
-  void request_from(const std::string& peer, topic_feed& feed)
+  /// `topics_left`: how many topics of the peer are not known to be current. It may be ahead in one
+  /// and cut off from the store in the other.
+  void request_from(const std::string& peer, topic_feed& feed,
+                    const std::shared_ptr<unsigned>& topics_left)
   {
     // The peer may be cut off from the store too, so the age of its state is kept.
     m_handlers.ask(peer, make_request(feed, false),
-                   [this, &feed, origin = page_origin{peer, now()}](const result<relay_page>& page)
+                   [this, &feed, topics_left,
+                    origin = page_origin{peer, now()}](const result<relay_page>& page)
                    {
                      apply_from(feed, origin, [&] { apply_relay_page(feed, page, origin); });
-                     // The backend servers are read most often, so their state tells soonest.
-                     const bool decides = !m_follow_backends || &feed == &m_backends;
-                     if (decides && is_current(page))
+                     if (is_current(page) && --*topics_left == 0)
                      {
                        m_current_peer = origin.source;
                      }
