StateFeed: time limits among processes follow the platform's bound

How long a request waits at a reader, and how long an answer is waited for, was fixed at values for a bound of two seconds, while the other times of the feed follow the limits of the platform. They are part of feed_timing now.

--- a/Source/Core/Node/AgentNode.cpp
+++ b/Source/Core/Node/AgentNode.cpp
@@ -31,8 +31,7 @@
         m_store(m_caller, settings.store),
         m_peers(m_loop, m_caller, m_store, settings, make_peer_handlers()),
         m_feed(m_loop, m_store, make_feed_handlers(), false, state_feed::store_use::last_resort,
-               settings.backend_heartbeat,
-               state_feed::make_feed_timing(std::min(settings.drain_limit, settings.config_limit))),
+               settings.backend_heartbeat, state_feed::make_feed_timing(news_limit(settings))),
         m_rollout(make_environment(), *settings.engine, make_rollout_handlers())
   {
   }
--- a/Source/Core/Node/EntryNode.cpp
+++ b/Source/Core/Node/EntryNode.cpp
@@ -40,8 +40,7 @@
         m_store(m_caller, settings.store),
         m_peers(m_loop, m_caller, m_store, settings, make_peer_handlers()),
         m_feed(m_loop, m_store, make_feed_handlers(), true, state_feed::store_use::direct,
-               settings.backend_heartbeat,
-               state_feed::make_feed_timing(std::min(settings.drain_limit, settings.config_limit))),
+               settings.backend_heartbeat, state_feed::make_feed_timing(news_limit(settings))),
         m_gateway(
             m_loop, settings,
             {.live = [this] { return m_peers.live(peers::peer_role::entry).size(); },
--- a/Source/Core/Node/PeerService.cpp
+++ b/Source/Core/Node/PeerService.cpp
@@ -23,8 +23,6 @@
 constexpr milliseconds registration_retry{1000};
 constexpr milliseconds register_again_delay{1000};
 constexpr milliseconds peer_answer_timeout{1000};
-// Time beyond its wait in which a reader in the same failure domain answers.
-constexpr milliseconds relay_margin{400};
 // A host without power does not respond; within a region a connection takes a few ms.
 constexpr milliseconds peer_connect_timeout{250};
 // All processes of a failure domain may read their first state from one link of 28 Mbit/s.
@@ -62,6 +60,11 @@
 
 } // namespace
 
+milliseconds news_limit(const protocol::node_settings& settings)
+{
+  return std::min(settings.drain_limit, settings.config_limit);
+}
+
 peer_service::peer_service(async_io::event_loop& loop, async_io::http_caller& caller,
                            platform::store_client& store, const protocol::node_settings& settings,
                            peer_handlers handlers)
@@ -78,7 +81,7 @@
                                                        ? peers::peer_role::entry
                                                        : peers::peer_role::agent,
                                            .proof = {}},
-      m_permit_owners(settings.ip)
+      m_permit_owners(settings.ip), m_timing(state_feed::make_feed_timing(news_limit(settings)))
 {
 }
 
@@ -480,7 +483,8 @@
                    "&offset=" + std::to_string(request.from->offset);
   }
   call.target += request.may_wait ? "&wait=1" : "";
-  call.timeout = request.may_wait ? state_feed::relay_wait + relay_margin : peer_answer_timeout;
+  call.timeout =
+      request.may_wait ? m_timing.relay_wait + m_timing.relay_margin : peer_answer_timeout;
   call.connect_timeout = peer_connect_timeout;
   call.transfer_timeout = page_transfer_timeout;
   call.max_body_bytes = max_page_bytes;
--- a/Source/Core/Node/PeerService.h
+++ b/Source/Core/Node/PeerService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <span>
@@ -18,6 +19,7 @@
 #include "Peers/PeerTable.h"
 #include "Protocol/NodeSettings.h"
 #include "Rollout/PiecePlan.h"
+#include "StateFeed/FeedTiming.h"
 #include "StateFeed/RelayPage.h"
 #include "platform/StoreClient.h"
 
@@ -53,6 +55,9 @@
   std::function<void(const peers::engine_mark&)> on_proof = nullptr;
 };
 
+/// Latest time for news of any topic to reach all processes.
+std::chrono::milliseconds news_limit(const protocol::node_settings& settings);
+
 /// Talks with the other processes of the fleet: who is there, load of engines, state and pieces.
 class peer_service
 {
@@ -163,6 +168,7 @@
   /// When this process last wrote the record of its host.
   std::optional<async_io::time_point> m_registered_at;
   peers::key_owner m_permit_owners;
+  state_feed::feed_timing m_timing;
 };
 
 } // namespace pollenyoke::node
--- a/Source/Core/StateFeed/FeedTiming.h
+++ b/Source/Core/StateFeed/FeedTiming.h
@@ -18,6 +18,14 @@
   std::chrono::milliseconds max_age{1100};
   /// A check without an answer is repeated after this time.
   std::chrono::milliseconds check_patience{300};
+  /// Longest time that a request among processes waits for a change. One that gets no response
+  /// turns to another process early enough.
+  std::chrono::milliseconds relay_wait{500};
+  /// Time beyond its wait in which a reader of the same failure domain answers.
+  std::chrono::milliseconds relay_margin{400};
+  /// How long a request waits at a reader whose records are not current. When the first reader of a
+  /// failure domain is cut off, the second one needs this long to read the store itself.
+  std::chrono::milliseconds confirmation_wait{200};
   /// A process that serves state to others waits for news while its state is older than this.
   std::chrono::milliseconds max_relay_age{900};
 };
@@ -41,7 +49,18 @@
   return {.poll_interval = scaled(base.poll_interval),
           .max_age = scaled(base.max_age),
           .check_patience = scaled(base.check_patience),
+          .relay_wait = scaled(base.relay_wait),
+          .relay_margin = scaled(base.relay_margin),
+          .confirmation_wait = scaled(base.confirmation_wait),
           .max_relay_age = scaled(base.max_relay_age)};
 }
 
+/// Longest time from the acknowledgement of a record until an entry asks for it, whatever was lost
+/// on its way, if this many checks over new connections are lost as well. The answer of the store,
+/// the network and the event loop come on top. See docs/design/age-of-state.md. Pure.
+constexpr std::chrono::milliseconds longest_delay(const feed_timing& timing, unsigned lost_checks)
+{
+  return timing.max_age + lost_checks * timing.check_patience;
+}
+
 } // namespace pollenyoke::state_feed
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -186,7 +186,7 @@
                std::function<async_io::time_point()> confirmed_at,
                std::chrono::milliseconds heartbeat, const feed_timing& timing, restore_rules rules)
         : topic(followed), state(std::move(on_change), heartbeat, std::move(rules)),
-          relay(loop, state, std::move(confirmed_at), timing.max_relay_age), timer(loop),
+          relay(loop, state, std::move(confirmed_at), timing), timer(loop),
           checks(timing.check_patience)
     {
     }
--- a/Source/Core/StateFeed/TopicRelay.cpp
+++ b/Source/Core/StateFeed/TopicRelay.cpp
@@ -12,13 +12,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds expiry_check_interval{100};
+// Requests that expire within this time are answered together.
+constexpr milliseconds expiry_delay{10};
 
 } // namespace
 
 topic_relay::topic_relay(async_io::event_loop& loop, const topic_state& topic,
-                         std::function<async_io::time_point()> confirmed_at, milliseconds max_age)
-    : m_topic(topic), m_confirmed_at(std::move(confirmed_at)), m_max_age(max_age), m_timer(loop)
+                         std::function<async_io::time_point()> confirmed_at,
+                         const feed_timing& timing)
+    : m_topic(topic), m_confirmed_at(std::move(confirmed_at)), m_timing(timing), m_timer(loop)
 {
 }
 
@@ -29,7 +31,7 @@
 
 bool topic_relay::is_stale() const
 {
-  return m_topic.is_initialized() && age() >= m_max_age;
+  return m_topic.is_initialized() && age() >= m_timing.max_relay_age;
 }
 
 bool topic_relay::has_news(const changes_request& request) const
@@ -84,10 +86,18 @@
   }
   const auto now = current_time();
   m_pending.push_back({request, excluded_key, std::move(respond), now,
-                       now + (stale ? confirmation_wait : relay_wait), stale});
-  if (m_pending.size() == 1)
+                       now + (stale ? m_timing.confirmation_wait : m_timing.relay_wait), stale});
+  await_expiry();
+}
+
+void topic_relay::await_expiry()
+{
+  const auto first = std::min_element(m_pending.begin(), m_pending.end(),
+                                      [](const pending_request& a, const pending_request& b)
+                                      { return a.expires_at < b.expires_at; });
+  if (first != m_pending.end())
   {
-    m_timer.start(expiry_check_interval, [this] { expire_requests(); });
+    m_timer.start(first->expires_at + expiry_delay - current_time(), [this] { expire_requests(); });
   }
 }
 
@@ -126,10 +136,7 @@
   {
     respond_to(held);
   }
-  if (!m_pending.empty())
-  {
-    m_timer.start(expiry_check_interval, [this] { expire_requests(); });
-  }
+  await_expiry();
 }
 
 } // namespace pollenyoke::state_feed
--- a/Source/Core/StateFeed/TopicRelay.h
+++ b/Source/Core/StateFeed/TopicRelay.h
@@ -16,13 +16,6 @@
 namespace pollenyoke::state_feed
 {
 
-// Longest time that a read waits for a change. A process that gets no response turns to another
-// reader early enough to receive a change within two seconds.
-constexpr std::chrono::milliseconds relay_wait{500};
-// When the first reader of a failure domain is cut off, the second one needs this long to read the
-// store itself.
-constexpr std::chrono::milliseconds confirmation_wait{200};
-
 /// Serves the records of one topic to other processes.
 class topic_relay
 {
@@ -30,14 +23,13 @@
   using responder = std::function<void(std::string body)>;
 
   /// `confirmed_at` returns when the state was last confirmed to be current; each response carries
-  /// its age. State that was confirmed longer ago than `max_age` is not relied on.
+  /// its age. State that was confirmed longer ago than `max_relay_age` is not relied on.
   topic_relay(async_io::event_loop& loop, const topic_state& topic,
-              std::function<async_io::time_point()> confirmed_at,
-              std::chrono::milliseconds max_age = feed_timing{}.max_relay_age);
+              std::function<async_io::time_point()> confirmed_at, const feed_timing& timing = {});
 
   /// Responds with the requested records, except those of the key `excluded_key`. A request that
-  /// may wait is held for up to relay_wait if there is no change, or for confirmation_wait if the
-  /// state is not current.
+  /// may wait is held for up to `relay_wait` if there is no change, or for `confirmation_wait` if
+  /// the state is not current.
   void serve(const changes_request& request, const std::string& excluded_key, responder respond);
   /// Responds to the pending requests for which the topic has new changes.
   void notify();
@@ -61,11 +53,12 @@
   std::string make_response(const changes_request& request, const std::string& excluded_key,
                             std::chrono::milliseconds held);
   void respond_to(const pending_request& held);
+  void await_expiry();
   void expire_requests();
 
   const topic_state& m_topic;
   std::function<async_io::time_point()> m_confirmed_at;
-  std::chrono::milliseconds m_max_age;
+  feed_timing m_timing;
   async_io::timer m_timer;
   std::vector<pending_request> m_pending;
   /// Encoded records of the current state: all followers of a failure domain ask for the same ones.
