Emulator: connections that go silent while new ones work

The open connections to the store, those on which a read waits, those between processes, or all of them go silent at one moment, which excuses what a reset at that moment would. For those between processes the emulator carries what these send each other, over an address for each pair of machines; datagrams keep their senders. The relay of the stand-ins accepts only where something has come.

--- a/Source/Emulator/Deployment.cpp
+++ b/Source/Emulator/Deployment.cpp
@@ -136,11 +136,14 @@
     {
       const unsigned subnet = 1 + i % size;
       const unsigned host = first + i / size;
-      out.machines.push_back({kind + "-" + domain_at(i) + "-" + std::to_string(1 + i / size),
-                              role,
-                              domain_at(i),
-                              make_ip(network, subnet, host),
-                              {make_ip(network, store_subnet + subnet, host), store_port}});
+      out.machines.push_back(
+          {kind + "-" + domain_at(i) + "-" + std::to_string(1 + i / size),
+           role,
+           domain_at(i),
+           make_ip(network, subnet, host),
+           {make_ip(network, store_subnet + subnet, host), store_port},
+           static_cast<std::uint16_t>(peer_port +
+                                      (what.carries_peer_traffic ? out.machines.size() : 0))});
     }
   };
   add_machines(protocol::process_role::entry, what.entries, first_entry, "entry");
@@ -196,7 +199,7 @@
            {"zones", what.domains},
            {"heartbeat_ms", backend_heartbeat.count()},
            {"seed_nodes", seeds},
-           {"internal_port_range", {peer_port, peer_port + 15}},
+           {"internal_port_range", {of.peer_port, of.peer_port + 15}},
            {"platform", {{"address", transport::to_string(of.store)}}},
            {"limits", {{"memory_mb", what.memory_mb}, {"link_mbps", 700.0}}},
            {"bounds",
--- a/Source/Emulator/Deployment.h
+++ b/Source/Emulator/Deployment.h
@@ -40,6 +40,8 @@
   std::uint64_t memory_mb = 182;
   double origin_bytes_per_s = 1.9e6;
   std::chrono::seconds lookup_lifetime_limit{5};
+  /// What the processes send each other passes the emulator, see peer_network.
+  bool carries_peer_traffic = false;
   engine_model engine;
   rule_bounds bounds;
 };
@@ -55,6 +57,8 @@
   std::string ip;
   /// Where this machine reaches the store.
   transport::endpoint store;
+  /// Where its process listens, and reaches all others.
+  std::uint16_t peer_port = 0;
 };
 
 /// A plain backend server, which has no machine of the system.
--- a/Source/Emulator/FaultInjector.cpp
+++ b/Source/Emulator/FaultInjector.cpp
@@ -90,6 +90,7 @@
     {fault_kind::early_answers, &fault_injector::answer_early},
     {fault_kind::failed_continuations, &fault_injector::fail_continuations},
     {fault_kind::stop_series, &fault_injector::stop_series},
+    {fault_kind::open_connections_silent, &fault_injector::silence_open_connections},
 };
 
 fault_injector::fault_injector(async_io::event_loop& loop, platform_run& run,
@@ -211,6 +212,32 @@
   }
 }
 
+/// Excuses what a reset of the connections of all machines would excuse.
+void fault_injector::silence_open_connections(const planned_fault& fault)
+{
+  enum class extent
+  {
+    waiting_reads,
+    store,
+    peers,
+    all,
+  };
+  constexpr std::array extents{extent::waiting_reads, extent::store, extent::peers, extent::all};
+  const extent which = pick(extents, fault.choice);
+  for (const machine& host : m_run.where().machines)
+  {
+    disturb(host.name, 0);
+    if (which != extent::peers)
+    {
+      m_run.store().silence_open_connections(host.name, which == extent::waiting_reads);
+    }
+  }
+  if ((which == extent::peers || which == extent::all) && m_run.peers() != nullptr)
+  {
+    m_run.peers()->silence_open_connections();
+  }
+}
+
 void fault_injector::pause_process(const planned_fault& fault)
 {
   for (const machine& target : choose(fault, fault.share / 2))
--- a/Source/Emulator/FaultInjector.h
+++ b/Source/Emulator/FaultInjector.h
@@ -74,6 +74,7 @@
   void answer_early(const planned_fault& fault);
   void fail_continuations(const planned_fault& fault);
   void stop_series(const planned_fault& fault);
+  void silence_open_connections(const planned_fault& fault);
 
   void set_link_faults(const planned_fault& fault, const stand_ins::relay_faults& faults);
   void trouble_server(backend_server& server, server_fault trouble, const planned_fault& fault);
--- a/Source/Emulator/FaultPlan.cpp
+++ b/Source/Emulator/FaultPlan.cpp
@@ -50,7 +50,7 @@
   unsigned weight;
 };
 
-constexpr std::array<named_fault, 36> faults = {{
+constexpr std::array<named_fault, 37> faults = {{
     {fault_kind::kill_processes, "kill_processes", 4},
     {fault_kind::kill_all, "kill_all", 0},
     {fault_kind::stop_process, "stop_process", 4},
@@ -87,6 +87,7 @@
     {fault_kind::early_answers, "early_answers", 0},
     {fault_kind::failed_continuations, "failed_continuations", 0},
     {fault_kind::stop_series, "stop_series", 0},
+    {fault_kind::open_connections_silent, "open_connections_silent", 0},
 }};
 
 } // namespace
@@ -272,4 +273,46 @@
   return draw_recurring(seed, troubles, duration);
 }
 
+std::vector<planned_fault> draw_connection_plan(std::uint64_t seed, double duration)
+{
+  // All machines are excused for a while after each silence, and judged for some seconds then.
+  constexpr double min_gap_s = 7;
+  constexpr double mean_further_gap_s = 2;
+  constexpr double first_s = 2;
+  constexpr double latest_change_s = 1.5;
+  constexpr double pause_share = 0.4;
+  constexpr double stop_share = 0.2;
+  constexpr double machine_share = 0.25;
+  std::mt19937_64 random(seed);
+  std::uniform_real_distribution<double> fraction(0, 1);
+  std::exponential_distribution<double> gap(1 / mean_further_gap_s);
+  std::vector<planned_fault> plan;
+  const auto add = [&](fault_kind kind, double at)
+  {
+    plan.push_back({.kind = kind,
+                    .at = at,
+                    .duration = min_duration_s + fraction(random) * max_duration_s,
+                    .share = fraction(random) * machine_share,
+                    .choice = random()});
+  };
+  for (double at = first_s + gap(random); at < duration - quiet_end_s - max_duration_s;
+       at += min_gap_s + gap(random))
+  {
+    add(fault_kind::open_connections_silent, at);
+    add(fault_kind::config_series, at + latest_change_s * fraction(random));
+    if (fraction(random) < pause_share)
+    {
+      add(fault_kind::pause_process, at + latest_change_s * fraction(random));
+    }
+    if (fraction(random) < stop_share)
+    {
+      add(fraction(random) < 0.5 ? fault_kind::stop_process : fault_kind::kill_processes,
+          at + latest_change_s * fraction(random));
+    }
+  }
+  std::stable_sort(plan.begin(), plan.end(),
+                   [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+  return plan;
+}
+
 } // namespace pollenyoke::emulator
--- a/Source/Emulator/FaultPlan.h
+++ b/Source/Emulator/FaultPlan.h
@@ -55,6 +55,8 @@
   failed_continuations,
   /// Processes get SIGTERM one after the other, some of them again, and SIGHUP around it.
   stop_series,
+  /// Connections to the store, between processes, or both, go silent for good while new ones work.
+  open_connections_silent,
 };
 
 struct planned_fault
@@ -80,4 +82,8 @@
 /// Draws servers that answer uploads early, break answers off or cannot continue streams.
 std::vector<planned_fault> draw_answer_plan(std::uint64_t seed, double duration);
 
+/// Draws connections that go silent while new ones work, each time with changes of the
+/// configuration behind it, and processes that stand still, end or start meanwhile.
+std::vector<planned_fault> draw_connection_plan(std::uint64_t seed, double duration);
+
 } // namespace pollenyoke::emulator
--- a/Source/Emulator/HttpServer.cpp
+++ b/Source/Emulator/HttpServer.cpp
@@ -66,11 +66,6 @@
                         [self](async_io::close_reason) { self->end(); });
   }
 
-  void set_silent()
-  {
-    m_silent = true;
-  }
-
   void set_holding(bool holds)
   {
     m_holding = holds;
@@ -171,6 +166,11 @@
     end();
   }
 
+  void silence() override
+  {
+    m_silent = true;
+  }
+
   void end_connection() override
   {
     m_answering = false;
@@ -299,7 +299,7 @@
         owner->sessions.insert(next);
         if (owner->fault == connection_fault::silent)
         {
-          next->set_silent();
+          next->silence();
         }
         next->set_holding(owner->holds);
         next->begin();
@@ -325,10 +325,7 @@
   }
   if (fault == connection_fault::silent)
   {
-    for (const auto& open : m_state->sessions)
-    {
-      open->set_silent();
-    }
+    silence_open_connections();
   }
 }
 
@@ -352,6 +349,14 @@
   }
 }
 
+void http_server::silence_open_connections()
+{
+  for (const auto& open : m_state->sessions)
+  {
+    open->silence();
+  }
+}
+
 void http_server::reset_connections()
 {
   const auto open_sessions = std::move(m_state->sessions);
--- a/Source/Emulator/HttpServer.h
+++ b/Source/Emulator/HttpServer.h
@@ -38,6 +38,8 @@
   /// Sends `head`, then `filler` until the caller closes.
   virtual void send_endless(std::string head, std::string filler) = 0;
   virtual void reset() = 0;
+  /// The connection stays open and carries nothing any more.
+  virtual void silence() = 0;
   /// Ends the connection in order behind what was sent.
   virtual void end_connection() = 0;
   /// `handler` is called once when the caller closes before the answer is complete.
@@ -82,6 +84,8 @@
   /// what arrived from callers that have closed since.
   void set_holding(bool holds);
   void reset_connections();
+  /// The connections that are open now carry nothing any more; new ones work.
+  void silence_open_connections();
 
 private:
   struct state;
--- a/Source/Emulator/Main.cpp
+++ b/Source/Emulator/Main.cpp
@@ -43,8 +43,8 @@
   --work DIR         Folder for settings and logs [default: /tmp/pollenyoke-emulator].
   --seed N           Seed of everything that is drawn [default: 1].
   --plan PLAN        Faults that are drawn: mixed, loads (disturbances at the steps of loads),
-                     stops (planned stops in series), or answers (early, broken and failed ones)
-                     [default: mixed].
+                     stops (planned stops in series), answers (early, broken and failed ones), or
+                     connections (that go silent while new ones work) [default: mixed].
   --duration S       Seconds with callers [default: 60].
   --processes N      Processes of the system, a third of them entries.
   --log-level LEVEL  Lowest level of this program's own log lines [default: warning].
@@ -103,11 +103,13 @@
       {"mixed", emulator::soak_plan::mixed},
       {"loads", emulator::soak_plan::loads},
       {"stops", emulator::soak_plan::stops},
-      {"answers", emulator::soak_plan::answers}};
+      {"answers", emulator::soak_plan::answers},
+      {"connections", emulator::soak_plan::connections}};
   const auto plan = plans.find(given.at("--plan").asString());
   if (plan == plans.end())
   {
-    return fail(error_code::invalid_argument, "--plan: must be mixed, loads, stops or answers");
+    return fail(error_code::invalid_argument,
+                "--plan: must be mixed, loads, stops, answers or connections");
   }
   out.plan = plan->second;
   out.run.seed = *seed;
--- a/Source/Emulator/PlatformRun.cpp
+++ b/Source/Emulator/PlatformRun.cpp
@@ -158,6 +158,11 @@
     }
     m_proxy_of_entry[host.name] = &proxy;
   }
+  if (m_deployment.carries_peer_traffic)
+  {
+    m_peers = std::make_unique<peer_network>(m_loop);
+    return m_peers->connect(m_layout.machines);
+  }
   return {};
 }
 
--- a/Source/Emulator/PlatformRun.h
+++ b/Source/Emulator/PlatformRun.h
@@ -13,6 +13,7 @@
 #include "Emulator/EngineWork.h"
 #include "Emulator/FleetOperator.h"
 #include "Emulator/KeptConnectionCaller.h"
+#include "Emulator/PeerNetwork.h"
 #include "Emulator/PlainWork.h"
 #include "Emulator/ProcessFleet.h"
 #include "Emulator/StoreService.h"
@@ -88,6 +89,11 @@
   {
     return m_desks;
   }
+  /// Null unless the deployment says that it carries the traffic of peers.
+  peer_network* peers()
+  {
+    return m_peers.get();
+  }
   /// The proxy in front of an entry.
   stand_ins::relay_loop& proxy_of(const machine& entry);
   /// Entries whose callers share this proxy.
@@ -124,6 +130,7 @@
   std::vector<std::unique_ptr<stand_ins::relay_loop>> m_proxies;
   std::map<std::string, stand_ins::relay_loop*> m_proxy_of_entry;
   std::vector<machine> m_late_hosts;
+  std::unique_ptr<peer_network> m_peers;
   process_fleet m_processes;
   std::unique_ptr<caller_pool> m_callers;
   std::vector<std::unique_ptr<kept_connection_caller>> m_kept_connections;
--- a/Source/Emulator/Soak.cpp
+++ b/Source/Emulator/Soak.cpp
@@ -90,9 +90,10 @@
     }
     else
     {
-      const auto draw = m_options.plan == soak_plan::stops     ? draw_stop_plan
-                        : m_options.plan == soak_plan::answers ? draw_answer_plan
-                                                               : draw_plan;
+      const auto draw = m_options.plan == soak_plan::stops         ? draw_stop_plan
+                        : m_options.plan == soak_plan::answers     ? draw_answer_plan
+                        : m_options.plan == soak_plan::connections ? draw_connection_plan
+                                                                   : draw_plan;
       constexpr double upload_share = 0.8;
       m_run.callers().set_upload_share(m_options.plan == soak_plan::answers ? upload_share : 0);
       m_injector = std::make_unique<fault_injector>(m_loop, m_run,
@@ -296,6 +297,7 @@
     emulated.engine.step_ms = slow_step_ms;
     chosen.run.kept_connections = kept_connections_per_entry;
   }
+  emulated.carries_peer_traffic = options.faults && options.plan == soak_plan::connections;
   return soak(emulated, chosen).execute();
 }
 
--- a/Source/Emulator/Soak.h
+++ b/Source/Emulator/Soak.h
@@ -32,6 +32,8 @@
   stops,
   /// Answers that come early, break off or do not continue a stream.
   answers,
+  /// Connections that go silent while new ones work.
+  connections,
 };
 
 struct soak_options
--- a/Source/Emulator/StoreService.cpp
+++ b/Source/Emulator/StoreService.cpp
@@ -147,6 +147,22 @@
   m_machines.at(machine).server->set_fault(fault);
 }
 
+void store_service::silence_open_connections(const std::string& machine, bool only_waiting)
+{
+  if (!only_waiting)
+  {
+    m_machines.at(machine).server->silence_open_connections();
+    return;
+  }
+  for (const pending_read& read : m_pending)
+  {
+    if (read.machine == machine)
+    {
+      read.reply->silence();
+    }
+  }
+}
+
 void store_service::forget_history()
 {
   m_log.forget_history();
--- a/Source/Emulator/StoreService.h
+++ b/Source/Emulator/StoreService.h
@@ -55,6 +55,9 @@
   void set_fault_for_all(store_fault fault, double share = 1);
   /// The machine's connections to the store go silent or are refused.
   void set_connection_fault(const std::string& machine, connection_fault fault);
+  /// The connections of a machine to the store that are open now go silent for good, or only those
+  /// on which a read waits; new ones work.
+  void silence_open_connections(const std::string& machine, bool only_waiting);
   void forget_history();
   /// The store comes back from a copy that is about as old; what was written since is gone, and its
   /// era rises. The operator and the backend servers write their part again a little later.
--- a/Source/StandIns/RelayLoop.cpp
+++ b/Source/StandIns/RelayLoop.cpp
@@ -259,6 +259,7 @@
   {
     m_polled.push_back({at.socket, POLLIN, 0});
   }
+  m_polled_listeners = m_listeners.size();
   for (const session& open : m_sessions)
   {
     m_polled.push_back({open.socket, POLLIN, 0});
@@ -293,8 +294,12 @@
     {
       return;
     }
-    for (std::size_t i = 0; i < m_listeners.size(); ++i)
+    for (std::size_t i = 0; i < m_polled_listeners; ++i)
     {
+      if (m_polled[1 + i].revents == 0)
+      {
+        continue;
+      }
       if (m_listeners[i].route.udp)
       {
         receive_from(i);
--- a/Source/StandIns/RelayLoop.h
+++ b/Source/StandIns/RelayLoop.h
@@ -144,7 +144,9 @@
   std::deque<datagram> m_datagrams;
   std::array<clock::time_point, 2> m_free_at{};
   std::array<std::uint64_t, 2> m_bytes{};
+  /// The pipe that wakes the loop, then the listeners, sessions and connections.
   std::vector<pollfd> m_polled;
+  std::size_t m_polled_listeners = 0;
   std::vector<char> m_buffer = std::vector<char>(largest_read);
   std::thread m_thread;
 };
--- a/Source/UnitTests/Emulator/LoadStepsTest.cpp
+++ b/Source/UnitTests/Emulator/LoadStepsTest.cpp
@@ -53,6 +53,7 @@
   }
   void send_endless(std::string /*head*/, std::string /*filler*/) override {}
   void end_connection() override {}
+  void silence() override {}
   void reset() override
   {
     m_reset = true;
--- a/Source/UnitTests/Emulator/StoreTest.cpp
+++ b/Source/UnitTests/Emulator/StoreTest.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(forgotten_history_expires_an_offset);
   CPPUNIT_TEST(faults_concern_single_machines);
   CPPUNIT_TEST(lost_answer_of_an_append_was_executed);
+  CPPUNIT_TEST(waiting_read_goes_silent_and_new_connections_work);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* topic = "keyed.op";
@@ -144,6 +145,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, newest("m1")->records.size());
   }
 
+  void waiting_read_goes_silent_and_new_connections_work()
+  {
+    platform::store_client client(m_caller, m_addresses.at("m1"));
+    std::optional<result<record_page>> waiting;
+    client.read(record_topic::operator_records, {.wait = milliseconds(500)},
+                [&waiting](result<record_page> page) { waiting = std::move(page); });
+    CPPUNIT_ASSERT(newest("m1"));
+    m_store->silence_open_connections("m1", true);
+    CPPUNIT_ASSERT(m_store->put(topic, "config", "1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read("m1", 0, milliseconds(0))->records.size());
+    CPPUNIT_ASSERT(!waiting);
+    test::run_until(m_loop, [&waiting] { return waiting.has_value(); });
+    CPPUNIT_ASSERT(waiting->error().code == error_code::timeout);
+  }
+
   void faults_concern_single_machines()
   {
     CPPUNIT_ASSERT(m_store->put(topic, "config", "1"));
