StateFeed: an outage of the store ends when its answer comes

Since records are as old as the question that brought them, the end of an outage was dated back to that question too: up to 1.5 s early, so that servers whose records had expired could go out of use before they had written them again.

A page carries both times: the one for which it confirms the records, and the one at which it came, from which outages and expired records are told.

--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -283,10 +283,10 @@
   /// The page was made at the end of the time for which it was held, or later. What passed besides
   /// on its way counts towards its age: it may have waited in a full link, or this process may have
   /// stood still.
-  static async_io::time_point confirmed_by(const relay_page& page, const page_origin& origin)
+  static confirmation confirmed_by(const relay_page& page, const page_origin& origin)
   {
-    return origin.asked + std::chrono::milliseconds(page.held_ms) -
-           std::chrono::milliseconds(page.age_ms);
+    const std::chrono::milliseconds age(page.age_ms);
+    return {origin.asked + std::chrono::milliseconds(page.held_ms) - age, now() - age};
   }
 
   void apply_relay_page(topic_feed& feed, const result<relay_page>& page, const page_origin& origin)
@@ -296,15 +296,15 @@
       return;
     }
     note_era(feed, page->page);
-    const auto confirmed_at = confirmed_by(*page, origin);
+    const auto confirmed = confirmed_by(*page, origin);
     if (page->is_snapshot)
     {
-      feed.state.apply_newest(page->page, confirmed_at);
+      feed.state.apply_newest(page->page, confirmed);
       feed.resync = false;
     }
     else
     {
-      feed.state.apply_changes(page->page, confirmed_at);
+      feed.state.apply_changes(page->page, confirmed);
     }
     feed.relay.notify();
     report_first_state();
@@ -399,12 +399,12 @@
     }
     if (is_snapshot)
     {
-      feed.state.apply_newest(*page, origin.asked);
+      feed.state.apply_newest(*page, {origin.asked, now()});
       feed.resync = false;
     }
     else
     {
-      feed.state.apply_changes(*page, origin.asked);
+      feed.state.apply_changes(*page, {origin.asked, now()});
     }
     feed.relay.notify();
     report_first_state();
--- a/Source/Core/StateFeed/TopicState.cpp
+++ b/Source/Core/StateFeed/TopicState.cpp
@@ -139,7 +139,7 @@
       m_records.try_emplace(change.key, known_record{{}, confirmed}).first->second;
   const bool has_earlier = !known.newest.key.empty() && known.written_after >= confirmed;
   known.written_after =
-      has_earlier ? std::min(m_confirmed_at, known.written_after + m_min_interval) : confirmed;
+      has_earlier ? std::min(m_last_page_at, known.written_after + m_min_interval) : confirmed;
   known.newest = change;
   known.era = m_era;
   known.is_ahead = false;
@@ -155,11 +155,11 @@
   const auto known = m_records.find(removal.key);
   if (known != m_records.end())
   {
-    const auto silence = m_confirmed_at - known->second.written_after;
+    const auto silence = m_last_page_at - known->second.written_after;
     removal.may_have_expired =
         removal.may_have_expired && silence >= missed_heartbeats * m_min_interval;
     m_records.erase(known);
-    note_removal(removal.key, m_confirmed_at);
+    note_removal(removal.key, m_last_page_at);
   }
   add_recent_change(removal);
   ++m_revision;
@@ -167,13 +167,14 @@
 }
 
 /// A shorter gap cannot have expired a record: its last heartbeat was up to one interval before.
-void topic_state::confirm(time_point when)
+void topic_state::confirm(const confirmation& by)
 {
-  if (m_initialized && when - m_confirmed_at >= (missed_heartbeats - 1) * m_min_interval)
+  if (m_initialized && by.came_at - m_last_page_at >= (missed_heartbeats - 1) * m_min_interval)
   {
-    m_outage_end = when;
+    m_outage_end = by.came_at;
   }
-  m_confirmed_at = std::max(m_confirmed_at, when);
+  m_last_page_at = std::max(m_last_page_at, by.came_at);
+  m_confirmed_at = std::max(m_confirmed_at, by.as_of);
 }
 
 /// Keeps the newest change of each key only, so that a quick series of configurations is neither
@@ -185,16 +186,16 @@
   m_recent_changes.push_back(change);
 }
 
-void topic_state::apply_changes(const record_page& page, time_point as_of)
+void topic_state::apply_changes(const record_page& page, const confirmation& by)
 {
   if (page.era.value_or(m_era) != m_era)
   {
     return;
   }
-  const time_point confirmed = m_confirmed_at;
+  const time_point confirmed = m_last_page_at;
   if (page.next >= page.end)
   {
-    confirm(as_of);
+    confirm(by);
   }
   for (const record& change : page.records)
   {
@@ -215,7 +216,7 @@
   }
 }
 
-void topic_state::apply_newest(const record_page& page, time_point as_of)
+void topic_state::apply_newest(const record_page& page, const confirmation& by)
 {
   const std::uint64_t era = page.era.value_or(m_era);
   if (m_initialized && log_position{era, page.end} < position())
@@ -223,12 +224,12 @@
     // The page is older than the state already applied.
     return;
   }
-  const time_point confirmed = m_confirmed_at;
-  confirm(as_of);
+  const time_point confirmed = m_last_page_at;
+  confirm(by);
   const bool restored = m_initialized && era != m_era;
   if (restored)
   {
-    begin_era(era, as_of);
+    begin_era(era, by.came_at);
   }
   m_era = era;
   std::set<std::string> present;
--- a/Source/Core/StateFeed/TopicState.h
+++ b/Source/Core/StateFeed/TopicState.h
@@ -32,6 +32,15 @@
   bool retains_missing = false;
 };
 
+/// When a page of records was current.
+struct confirmation
+{
+  /// A time at which its source was not ahead of it.
+  std::chrono::steady_clock::time_point as_of;
+  /// When it came; outages end then.
+  std::chrono::steady_clock::time_point came_at = as_of;
+};
+
 /// The newest known record of each key of one topic, from the store or from a peer. A record never
 /// replaces a newer one. Not thread-safe.
 class topic_state
@@ -46,13 +55,12 @@
                        restore_rules rules = {});
 
   /// Applies changes, which must be in order of their offsets. Those of another era are ignored:
-  /// an earlier one is over, and a later one has to be read from its beginning. `as_of`: a time at
-  /// which the source of the page was not ahead of it; a page that is not the last one confirms
-  /// nothing.
-  void apply_changes(const record_page& page, time_point as_of);
+  /// an earlier one is over, and a later one has to be read from its beginning. A page that is not
+  /// the last one confirms nothing.
+  void apply_changes(const record_page& page, const confirmation& by);
   /// Applies the newest records of all keys and removes the keys that are absent. A page of an
   /// earlier era is ignored.
-  void apply_newest(const record_page& page, time_point as_of);
+  void apply_newest(const record_page& page, const confirmation& by);
 
   bool is_initialized() const;
   std::uint64_t next_offset() const;
@@ -98,7 +106,7 @@
   void put(const record& change, time_point confirmed);
   void remove(record removal);
   void add_recent_change(const record& change);
-  void confirm(time_point when);
+  void confirm(const confirmation& by);
 
   change_handler m_on_change;
   /// Shortest interval between two writes of a record.
@@ -115,6 +123,9 @@
   std::uint64_t m_revision = 0;
   bool m_initialized = false;
   time_point m_confirmed_at{};
+  /// When pages came that were current; tells how long owners of records may have been unable to
+  /// write.
+  time_point m_last_page_at{};
   /// End of the last period in which no source could confirm this state.
   std::optional<time_point> m_outage_end;
 };
