StateFeed: answered checks do not grow rare

A page of another process is older than the request for it, so that the schedule took each answered request of an agent for a lost one, and its checks grew rare, to one in 4.8 s. A check counts as lost only if the records are as old as before it; agents repeat theirs as often as they may ask a peer. StateFeed.CheckSchedule.old_pages_do_not_make_checks_rare guards it.

--- a/Source/Core/StateFeed/CheckSchedule.cpp
+++ b/Source/Core/StateFeed/CheckSchedule.cpp
@@ -19,7 +19,7 @@
 
 bool check_schedule::is_repeated(time_point confirmed_at) const
 {
-  return m_unconfirmed > 0 && confirmed_at < m_sent_at;
+  return m_unconfirmed > 0 && confirmed_at <= m_confirmed_before;
 }
 
 std::chrono::milliseconds check_schedule::interval() const
@@ -31,13 +31,19 @@
 check_schedule::time_point check_schedule::due(time_point confirmed_at,
                                                std::chrono::milliseconds max_age) const
 {
-  const time_point first = confirmed_at + max_age;
-  return is_repeated(confirmed_at) ? std::max(first, m_sent_at + interval()) : first;
+  if (m_unconfirmed == 0)
+  {
+    return confirmed_at + max_age;
+  }
+  // A page that is old already may have confirmed them.
+  const auto wait = is_repeated(confirmed_at) ? interval() : m_patience;
+  return std::max(confirmed_at + max_age, m_sent_at + wait);
 }
 
 void check_schedule::note_sent(time_point confirmed_at, time_point now)
 {
   m_unconfirmed = is_repeated(confirmed_at) ? m_unconfirmed + 1 : 1;
+  m_confirmed_before = confirmed_at;
   m_sent_at = now;
 }
 
--- a/Source/Core/StateFeed/CheckSchedule.h
+++ b/Source/Core/StateFeed/CheckSchedule.h
@@ -18,7 +18,7 @@
   /// `confirmed_at`: when the records were last known to be current; `max_age`: the age at which
   /// they are checked.
   time_point due(time_point confirmed_at, std::chrono::milliseconds max_age) const;
-  /// Whether a check was sent that nothing has confirmed.
+  /// Whether a check was sent since the records were last confirmed.
   bool is_repeated(time_point confirmed_at) const;
   void note_sent(time_point confirmed_at, time_point now);
 
@@ -27,6 +27,7 @@
 
   std::chrono::milliseconds m_patience;
   time_point m_sent_at{};
+  time_point m_confirmed_before{};
   /// Checks since the records were last confirmed.
   unsigned m_unconfirmed = 0;
 };
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -42,6 +42,7 @@
             loop, record_topic::operator_records,
             [this](const record& change) { m_handlers.on_operator_record(change); },
             [this] { return m_operator.state.confirmed_at(); }, default_heartbeat, timing,
+            use == store_use::last_resort ? peer_request_interval : timing.check_patience,
             {.is_older = m_handlers.is_older_operator_record, .retains_missing = true}),
         m_backends(
             loop, record_topic::backend_servers,
@@ -50,7 +51,7 @@
                                            m_backends.state.may_return_until(change, now()));
             },
             [this] { return m_backends.state.confirmed_at(); }, backend_heartbeat, timing,
-            {.is_older = m_handlers.is_older_backend_record}),
+            timing.check_patience, {.is_older = m_handlers.is_older_backend_record}),
         m_catch_up_timer(loop), m_peer_timer(loop), m_check_timer(loop)
   {
   }
@@ -120,10 +121,10 @@
     topic_feed(async_io::event_loop& loop, record_topic followed,
                topic_state::change_handler on_change,
                std::function<async_io::time_point()> confirmed_at,
-               std::chrono::milliseconds heartbeat, const feed_timing& timing, restore_rules rules)
+               std::chrono::milliseconds heartbeat, const feed_timing& timing,
+               std::chrono::milliseconds check_patience, restore_rules rules)
         : topic(followed), state(std::move(on_change), heartbeat, std::move(rules)),
-          relay(loop, state, std::move(confirmed_at), timing), timer(loop),
-          checks(timing.check_patience)
+          relay(loop, state, std::move(confirmed_at), timing), timer(loop), checks(check_patience)
     {
     }
 
--- a/Source/UnitTests/StateFeed/CheckScheduleTest.cpp
+++ b/Source/UnitTests/StateFeed/CheckScheduleTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(lost_checks_are_repeated_within_the_longest_delay);
   CPPUNIT_TEST(checks_grow_rare_while_the_store_is_away);
   CPPUNIT_TEST(confirmed_records_are_checked_by_their_age);
+  CPPUNIT_TEST(old_pages_do_not_make_checks_rare);
   CPPUNIT_TEST_SUITE_END();
 
   using time_point = check_schedule::time_point;
@@ -65,6 +66,24 @@
     const auto confirmed = start + milliseconds(510);
     CPPUNIT_ASSERT(checks.due(confirmed, timing.poll_interval) == confirmed + timing.poll_interval);
   }
+
+  /// Guards against agents that ask their peers ever more rarely though each of them answers: pages
+  /// of processes are older than the request.
+  void old_pages_do_not_make_checks_rare()
+  {
+    const feed_timing timing;
+    check_schedule checks(timing.check_patience);
+    time_point confirmed = start;
+    time_point sent = start + timing.max_age;
+    for (int i = 0; i < 8; ++i)
+    {
+      checks.note_sent(confirmed, sent);
+      confirmed = sent - timing.max_age / 2;
+      const auto next = checks.due(confirmed, timing.max_age);
+      CPPUNIT_ASSERT(next == confirmed + timing.max_age);
+      sent = next;
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(check_schedule_test, "StateFeed.CheckSchedule");
