StateFeed: what looks for silent connections does not use idle ones

The first check of old records of the backend servers at a reader took an idle connection, and so did the read of all records after lost history, beside which nothing is checked: either could meet the next silent connection. Both use a new one, and a full pool of idle connections keeps the newest, which is the least likely to have gone silent.

--- a/Source/Core/AsyncIo/IdlePool.cpp
+++ b/Source/Core/AsyncIo/IdlePool.cpp
@@ -52,11 +52,17 @@
                   }
                   return expired;
                 });
-  if (list.size() >= m_max_per_address || lifetime.count() <= 0)
+  if (m_max_per_address == 0 || lifetime.count() <= 0)
   {
     connection->close();
     return;
   }
+  if (list.size() >= m_max_per_address)
+  {
+    // The one that was used last is the least likely to have gone silent.
+    list.front().connection->close();
+    list.erase(list.begin());
+  }
   connection->wait_idle();
   list.push_back({connection, now + lifetime});
 }
--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -508,11 +508,17 @@
            (m_store_use == store_use::direct || m_handlers.readers().empty());
   }
 
+  /// Checks beside a long poll go on all the time.
+  bool is_usual_check(const topic_feed& feed) const
+  {
+    return asks_store(feed) && &feed == &m_operator;
+  }
+
   /// Age at which the records are checked. A long poll that has gone silent looks like one without
   /// news.
   std::chrono::milliseconds check_age(const topic_feed& feed) const
   {
-    if (asks_store(feed) && &feed == &m_operator)
+    if (is_usual_check(feed))
     {
       return m_timing.poll_interval;
     }
@@ -563,10 +569,16 @@
     }
     // Only the usual checks of a reader use an idle connection, which may have gone silent too.
     read_beside(feed, {.from = feed.state.next_offset(),
-                       .new_connection = is_repeated || !asks_store(feed),
+                       .new_connection = is_repeated || !is_usual_check(feed),
                        .is_check = true});
   }
 
+  /// Interval at which what a check has left is read.
+  std::chrono::milliseconds rest_read_interval() const
+  {
+    return 2 * m_timing.check_patience;
+  }
+
   void read_beside(topic_feed& feed, const record_read& what)
   {
     m_store.read(feed.topic, what,
