StateFeed: what a check has left is read at intervals

A check brings one record. If more were missing, each check started another read of the rest, also while the one before was arriving over a full link.

--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -141,6 +141,8 @@
     /// The reader that the current read asks; empty if it asks the store.
     std::string current_reader;
     check_schedule checks;
+    /// When the rest of a check's page was read last.
+    async_io::time_point rest_read_at{};
     /// When records were applied last.
     async_io::time_point advanced_at{};
   };
@@ -592,9 +594,17 @@
     {
       return;
     }
-    const bool has_news = !page || page->end > feed.state.next_offset();
-    const bool replaces_read = asks_store(feed) && (has_news || &feed == &m_backends);
-    if (replaces_read)
+    const bool has_news = !page || log_position{page->era.value_or(feed.state.era()), page->end} >
+                                       feed.state.position();
+    const bool is_partial = page && page->next < page->end;
+    if (is_partial && now() < feed.rest_read_at + rest_read_interval())
+    {
+      // The rest may be arriving over a full link.
+      apply_from(feed, origin, [&] { apply_store_page(feed, page, false, origin); });
+      return;
+    }
+    feed.rest_read_at = is_partial ? now() : feed.rest_read_at;
+    if (asks_store(feed) && (has_news || &feed == &m_backends))
     {
       // Takes the place of the read whose answer has not come.
       on_store_page(feed, ++feed.read_number, page, false, origin);
@@ -607,7 +617,7 @@
       read_from_store(feed, ++feed.read_number);
       return;
     }
-    if (page && page->next < page->end)
+    if (is_partial)
     {
       read_beside(feed, {.from = feed.state.next_offset(), .new_connection = true});
     }
--- a/Source/UnitTests/StateFeed/SilentReadsTest.cpp
+++ b/Source/UnitTests/StateFeed/SilentReadsTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -33,6 +34,20 @@
   void read(record_topic topic, const record_read& what, page_handler done)
   {
     m_reads.push_back({topic, what});
+    if (what.is_check && topic == record_topic::operator_records && m_lost_checks > 0)
+    {
+      --m_lost_checks;
+      return;
+    }
+    if (m_answers_checks_only && topic == record_topic::operator_records && !what.is_check)
+    {
+      return;
+    }
+    if (what.is_check)
+    {
+      answer(topic, std::move(done), first_from(topic, what.from));
+      return;
+    }
     if (what.from < m_logs[topic].size() || what.wait.count() == 0)
     {
       answer(topic, std::move(done), page_from(topic, what.from));
@@ -64,6 +79,18 @@
     silent ? (void)m_silent.insert(topic) : (void)m_silent.erase(topic);
   }
 
+  /// The next checks of the operator's records get no answer.
+  void lose_checks(unsigned count)
+  {
+    m_lost_checks = count;
+  }
+
+  /// Other reads of the operator's records get no answer.
+  void answer_checks_only()
+  {
+    m_answers_checks_only = true;
+  }
+
   /// The store is away.
   void fail_all()
   {
@@ -98,6 +125,15 @@
     return out;
   }
 
+  /// A check brings one record at most.
+  record_page first_from(record_topic topic, std::uint64_t from)
+  {
+    record_page out = page_from(topic, from);
+    out.records.resize(std::min<std::size_t>(out.records.size(), 1));
+    out.next = from + out.records.size();
+    return out;
+  }
+
   void answer(record_topic topic, page_handler done, record_page page)
   {
     if (m_fails)
@@ -117,6 +153,8 @@
   std::vector<waiting_read> m_lost;
   std::set<record_topic> m_silent;
   bool m_fails = false;
+  unsigned m_lost_checks = 0;
+  bool m_answers_checks_only = false;
   std::vector<std::pair<record_topic, record_read>> m_reads;
 };
 
@@ -126,6 +164,9 @@
   CPPUNIT_TEST_SUITE(silent_reads_test);
   CPPUNIT_TEST(configuration_behind_a_silent_read_is_found);
   CPPUNIT_TEST(configuration_behind_a_silent_reader_is_found);
+  CPPUNIT_TEST(lost_checks_are_repeated_over_new_connections);
+  CPPUNIT_TEST(old_records_of_servers_are_checked_over_a_new_connection);
+  CPPUNIT_TEST(rest_of_a_check_is_not_read_again_and_again);
   CPPUNIT_TEST(news_for_an_agent_behind_a_silent_reader_is_found);
   CPPUNIT_TEST(age_of_the_operators_records_is_their_own);
   CPPUNIT_TEST(answer_is_as_old_as_its_read);
@@ -264,6 +305,74 @@
     CPPUNIT_ASSERT(applies("config", "2"));
   }
 
+  /// Guards against checks that take one silent idle connection after the other.
+  void lost_checks_are_repeated_over_new_connections()
+  {
+    auto follower = make_follower();
+    follower.start();
+    CPPUNIT_ASSERT(applies("config", "1"));
+    CPPUNIT_ASSERT(run_until([this] { return m_store.waiting_reads(operator_topic) > 0; }));
+    m_store.lose_waiting_reads();
+    m_store.lose_checks(3);
+    m_store.put(operator_topic, "config", "2");
+    CPPUNIT_ASSERT(applies("config", "2"));
+    std::vector<bool> new_connections;
+    for (const auto& [topic, what] : m_store.reads())
+    {
+      if (topic == operator_topic && what.is_check)
+      {
+        new_connections.push_back(what.new_connection);
+      }
+    }
+    // The usual check of a reader, then those that repeat it.
+    CPPUNIT_ASSERT(new_connections.size() >= 4);
+    CPPUNIT_ASSERT(!new_connections.front());
+    CPPUNIT_ASSERT(std::all_of(new_connections.begin() + 1, new_connections.begin() + 4,
+                               [](bool is_new) { return is_new; }));
+  }
+
+  void old_records_of_servers_are_checked_over_a_new_connection()
+  {
+    auto follower = make_follower();
+    follower.start();
+    CPPUNIT_ASSERT(applies("s1", "ready"));
+    m_store.set_silent(server_topic, true);
+    const auto checked = [this]
+    {
+      return std::any_of(m_store.reads().begin(), m_store.reads().end(),
+                         [](const auto& read)
+                         { return read.first == server_topic && read.second.new_connection; });
+    };
+    CPPUNIT_ASSERT(run_until(checked, milliseconds(2000)));
+    CPPUNIT_ASSERT(std::none_of(m_store.reads().begin(), m_store.reads().end(),
+                                [](const auto& read) {
+                                  return read.first == server_topic && read.second.is_check &&
+                                         !read.second.new_connection;
+                                }));
+  }
+
+  /// Guards against a full link on which each check starts another read of all that it has left.
+  void rest_of_a_check_is_not_read_again_and_again()
+  {
+    auto follower = make_follower();
+    follower.start();
+    CPPUNIT_ASSERT(applies("config", "1"));
+    CPPUNIT_ASSERT(run_until([this] { return m_store.waiting_reads(operator_topic) > 0; }));
+    m_store.lose_waiting_reads();
+    m_store.answer_checks_only();
+    for (int i = 2; i < 12; ++i)
+    {
+      m_store.put(operator_topic, "config", std::to_string(i));
+    }
+    CPPUNIT_ASSERT(applies("config", "5"));
+    const auto whole_reads = std::count_if(m_store.reads().begin(), m_store.reads().end(),
+                                           [](const auto& read) {
+                                             return read.first == operator_topic &&
+                                                    !read.second.is_check && read.second.from > 1;
+                                           });
+    CPPUNIT_ASSERT(whole_reads <= 2);
+  }
+
   void news_for_an_agent_behind_a_silent_reader_is_found()
   {
     m_readers = {"reader"};
@@ -293,7 +402,7 @@
     m_store.set_silent(operator_topic, true);
     run_for(milliseconds(1500));
     CPPUNIT_ASSERT(age_ms(follower, operator_topic) >= 1000);
-    CPPUNIT_ASSERT(age_ms(follower, server_topic) < 1000);
+    CPPUNIT_ASSERT(age_ms(follower, server_topic) < age_ms(follower, operator_topic));
   }
 
   /// Guards against a process that takes an answer for new which had been on its way, or unread
