StateFeed: first records that are old already are checked at once

A process that gets its first records from a process that is cut off from the store reports that it is ready. It now checks their age in the same moment, not up to 0.45 s later.

--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -321,6 +321,7 @@
     {
       m_initialized = true;
       m_handlers.on_initialized();
+      check_ages();
     }
   }
 
