StateFeed: a later era in a part of the changes is read from its beginning

Found while the change was read once more.

Only the read of the rest waits now. StateFeed.Follower.later_era_in_a_part_of_the_changes_is_read_from_its_beginning failed before.

--- a/Source/Core/StateFeed/StateFollower.h
+++ b/Source/Core/StateFeed/StateFollower.h
@@ -598,14 +598,13 @@
     const bool has_news = !page || log_position{page->era.value_or(feed.state.era()), page->end} >
                                        feed.state.position();
     const bool is_partial = page && page->next < page->end;
-    if (is_partial && now() < feed.rest_read_at + rest_read_interval())
+    // The rest may be arriving over a full link.
+    const bool rest_is_read = is_partial && now() < feed.rest_read_at + rest_read_interval();
+    if (is_partial && !rest_is_read)
     {
-      // The rest may be arriving over a full link.
-      apply_from(feed, origin, [&] { apply_store_page(feed, page, false, origin); });
-      return;
+      feed.rest_read_at = now();
     }
-    feed.rest_read_at = is_partial ? now() : feed.rest_read_at;
-    if (asks_store(feed) && (has_news || &feed == &m_backends))
+    if (asks_store(feed) && !rest_is_read && (has_news || &feed == &m_backends))
     {
       // Takes the place of the read whose answer has not come.
       on_store_page(feed, ++feed.read_number, page, false, origin);
@@ -618,7 +617,7 @@
       read_from_store(feed, ++feed.read_number);
       return;
     }
-    if (is_partial)
+    if (is_partial && !rest_is_read)
     {
       read_beside(feed, {.from = feed.state.next_offset(), .new_connection = true});
     }
--- a/Source/UnitTests/StateFeed/StateFollowerTest.cpp
+++ b/Source/UnitTests/StateFeed/StateFollowerTest.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(rolled_back_log_triggers_resync);
   CPPUNIT_TEST(rolled_back_log_is_not_read_without_a_pause);
   CPPUNIT_TEST(late_answer_of_a_check_is_no_rollback);
+  CPPUNIT_TEST(later_era_in_a_part_of_the_changes_is_read_from_its_beginning);
   CPPUNIT_TEST(later_era_of_the_store_is_read_from_its_beginning);
   CPPUNIT_TEST(answer_of_a_former_era_is_not_applied);
   CPPUNIT_TEST(later_era_of_one_topic_replaces_the_read_of_the_other);
@@ -282,6 +283,26 @@
     return out;
   }
 
+  /// Guards against a topic that is never read anew because two checks in a row brought a part of
+  /// it.
+  void later_era_in_a_part_of_the_changes_is_read_from_its_beginning()
+  {
+    auto follower = make_follower(false);
+    follower.start();
+    m_store.answer(page_of(1, {{"config", "1", 0}}, 1));
+    const auto answer_check = [this](record_page part)
+    {
+      m_store.operator_checks.clear();
+      run_until([this] { return !m_store.operator_checks.empty(); });
+      part.next = part.records.back().offset + 1;
+      m_store.operator_checks.front()(std::move(part));
+    };
+    answer_check(page_of(1, {{"config", "2", 1}}, 9));
+    answer_check(page_of(2, {{"config", "3", 2}}, 9));
+    run_until([this] { return m_store.calls.back().operation == "newest op"; });
+    CPPUNIT_ASSERT_EQUAL(std::string("newest op"), m_store.calls.back().operation);
+  }
+
   /// The topic has grown past its old end before anybody has read it.
   void later_era_of_the_store_is_read_from_its_beginning()
   {
